--- a/include/baobabward/config.h
+++ b/include/baobabward/config.h
@@ -54,12 +54,14 @@
  * @name: unique name
  * @floor_percent: share of the backend servers that ejection must leave,
  *                 0 to 100
+ * @health_path: path of the health endpoint of its backend servers
  * @backends: handles of its backend servers
  * @backends_nr: number of @backends
  */
 struct bb_service {
 	char *name;
 	uint32_t floor_percent;
+	char *health_path;
 	uint32_t *backends;
 	size_t backends_nr;
 };
@@ -119,26 +121,67 @@
  */
 unsigned int bb_method_parse(const char *name);
 
+/**
+ * enum bb_access - where the client account of a request comes from.
+ * @BB_ACCESS_INTERNAL: from the key, or from a header
+ * @BB_ACCESS_OPEN: from the key only; the route is open to all
+ * @BB_ACCESS_PUBLIC: no key is needed, a request may have no client account
+ */
+enum bb_access {
+	BB_ACCESS_INTERNAL,
+	BB_ACCESS_OPEN,
+	BB_ACCESS_PUBLIC,
+	BB_ACCESS_COUNT
+};
+
+extern const char *const bb_access_string[];
+
+/**
+ * struct bb_part - share of a route's requests that one service gets.
+ * @service: handle of the service
+ * @weight: relative share, greater than 0
+ */
+struct bb_part {
+	uint32_t service;
+	double weight;
+};
+
 /**
  * struct bb_route - maps paths to a service.
  * @name: unique name
- * @path_prefix: matches a path that equals it or continues after a '/'
+ * @host_name: the host that requests name, NULL for any; a route with a host
+ *             name goes before one without
+ * @path_prefix: matches a path that equals it or continues after a '/'; one
+ *               that ends in '/' matches only paths that begin with it
  * @methods: set of enum bb_method
  * @service: handle of the service
+ * @split: several services that share the requests by weight; @service is the
+ *         first of them
+ * @split_nr: number of @split, 0 if all requests go to @service
  * @idempotent: requests may be sent again
- * @open: open to all; the client account comes from the key only
+ * @access: where the client account comes from
  * @max_body_bytes: bound on the request and the response body
  * @timeout_ms: time for the whole request
+ * @target_latency_ms: time within which an answer is of full use, 0 if unknown
+ * @priority: rank in queues, 0 is the highest
+ * @max_attempts: most backend servers that one request may reach, 0 for no
+ *                bound of its own
  */
 struct bb_route {
 	char *name;
+	char *host_name;
 	char *path_prefix;
 	unsigned int methods;
 	uint32_t service;
+	struct bb_part *split;
+	size_t split_nr;
 	bool idempotent;
-	bool open;
+	enum bb_access access;
 	uint32_t max_body_bytes;
 	uint32_t timeout_ms;
+	uint32_t target_latency_ms;
+	uint32_t priority;
+	uint32_t max_attempts;
 };
 
 /**
@@ -147,6 +190,9 @@
  * @rate_per_s: requests a second over all hosts together
  * @burst: requests at once over all hosts together, at least 1
  * @weight: share in queues, greater than 0
+ * @unlimited: @rate_per_s and @burst are not applied
+ * @ranked: @priority goes before that of the route
+ * @priority: rank in queues, 0 is the highest
  * @key_hashes: BLAKE2b-256 hashes of its keys
  * @key_hashes_nr: number of @key_hashes
  */
@@ -155,6 +201,9 @@
 	double rate_per_s;
 	double burst;
 	double weight;
+	bool unlimited;
+	bool ranked;
+	uint32_t priority;
 	uint8_t (*key_hashes)[BB_KEY_HASH_SIZE];
 	size_t key_hashes_nr;
 };
@@ -162,6 +211,8 @@
 /**
  * struct bb_config - a snapshot.
  * @version: grows with every publication
+ * @revision: orders snapshots of one version, whose hosts and backend servers
+ *            were discovered one after the other; 0 for documents
  * @automation: automatic actions are allowed
  * @idempotency_window_ms: how long an idempotency key is remembered
  * @seats_hash: hash of the host names in order
@@ -172,6 +223,7 @@
  */
 struct bb_config {
 	uint64_t version;
+	uint64_t revision;
 	bool automation;
 	uint32_t idempotency_window_ms;
 	uint64_t seats_hash;
@@ -246,6 +298,7 @@
 /**
  * bb_config_match_route() - find the route of a request.
  * @c: snapshot
+ * @host: host that the request names, without a port; NULL for none
  * @path: path without the query
  * @method: bit of the method
  * @path_known: set to true when the path matches but the method does not
@@ -255,8 +308,9 @@
  *
  * Return: route handle, or BB_NO_ROW.
  */
-uint32_t bb_config_match_route(const struct bb_config *c, const char *path,
-			       unsigned int method, bool *path_known);
+uint32_t bb_config_match_route(const struct bb_config *c, const char *host,
+			       const char *path, unsigned int method,
+			       bool *path_known);
 
 /**
  * bb_config_to_json() - write a snapshot as a document.
--- /dev/null
+++ b/include/baobabward/dialect.h
@@ -0,0 +1,63 @@
+/*
+ * Names of the HTTP headers that a node exchanges with callers and backend
+ * servers. The default is the product's own interface; a deployment whose
+ * callers and backend servers use other names supplies its own table.
+ *
+ * A dialect is constant while a node uses it and may be read by any thread.
+ */
+#ifndef BAOBABWARD_DIALECT_H
+#define BAOBABWARD_DIALECT_H
+
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct bb_dialect - header names; NULL for a header that is not used.
+ * @key: key of a caller; never passed on
+ * @bearer: the key follows the word "Bearer"
+ * @account: client account: taken from callers of internal routes, and sent to
+ *           backend servers if @tell_account is set
+ * @tell_account: backend servers are told the client account
+ * @deadline: milliseconds that the sender will wait, from callers and to
+ *            backend servers
+ * @request_id: the caller's name for the request; passed on, used in logs, and
+ *              repeated in the backend server's answer
+ * @caller_service: service on whose host the request began; set by the node
+ * @backend_id: name of the backend server that a request is meant for; another
+ *              one at its address answers 421 without running it
+ * @not_executed: marks a backend server's answer as a refusal: it did not run
+ *                the request
+ * @pass_host: backend servers get the Host header of the caller
+ * @close_ends_body: an answer without a length is complete when its connection
+ *                   is closed, as RFC 9112 has it; otherwise it counts as
+ *                   truncated, because the close may be a crash
+ * @fractional_retry_after: Retry-After may have a fraction
+ * @refuse_503: a request that certainly did not run is refused with 503 where
+ *              the status would be 502 or 504
+ */
+struct bb_dialect {
+	const char *key;
+	bool bearer;
+	const char *account;
+	bool tell_account;
+	const char *deadline;
+	const char *request_id;
+	const char *caller_service;
+	const char *backend_id;
+	const char *not_executed;
+	bool pass_host;
+	bool close_ends_body;
+	bool fractional_retry_after;
+	bool refuse_503;
+};
+
+/* The product's own interface. */
+extern const struct bb_dialect bb_dialect_default;
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/include/baobabward/lease.h
+++ b/include/baobabward/lease.h
@@ -192,6 +192,11 @@
  * @alive: liveness of the hosts
  * @send: hands out a message
  * @drift_ppm: as for the lender
+ * @reachable: thousandths of the hosts that are alive. If set, groups are not
+ *             leased: the first live host of a group's ranking holds all of
+ *             it, or the reachable share if that is less than half. Hosts that
+ *             disagree on who is alive then both hold a group until they agree
+ *             again.
  */
 struct bb_holder_options {
 	const char *self;
@@ -200,6 +205,7 @@
 	bb_lease_alive_fn *alive;
 	bb_send_fn *send;
 	int64_t drift_ppm;
+	uint32_t (*reachable)(void *data, int64_t now_us);
 };
 
 struct bb_holder;
--- a/include/baobabward/member.h
+++ b/include/baobabward/member.h
@@ -83,6 +83,8 @@
  * @data: for the callbacks
  * @interval_us: mean time between two digest requests
  * @freshness_us: age up to which evidence counts
+ * @trusted: the configuration comes from linearizable reads; it is in force at
+ *           once
  * @neighbours: number of peers that are asked in turn
  * @entries: seats wanted in a digest while there is a quorum
  */
@@ -97,6 +99,7 @@
 	void *data;
 	int64_t interval_us;
 	int64_t freshness_us;
+	bool trusted;
 	uint32_t neighbours;
 	uint32_t entries;
 };
--- a/include/baobabward/node.h
+++ b/include/baobabward/node.h
@@ -8,8 +8,11 @@
 #ifndef BAOBABWARD_NODE_H
 #define BAOBABWARD_NODE_H
 
+#include <glib.h>
 #include <stdint.h>
 
+#include "baobabward/config.h"
+#include "baobabward/dialect.h"
 #include "baobabward/error.h"
 #include "baobabward/settings.h"
 
@@ -36,12 +39,63 @@
 
 struct bb_node;
 
+/**
+ * bb_feed_accept_fn() - takes over a configuration from a feed.
+ * @node: of struct bb_feed_target
+ * @c: newer than the ones before by version, or by revision
+ */
+typedef void bb_feed_accept_fn(void *node, struct bb_config *c);
+
+/**
+ * struct bb_feed_target - where a feed delivers, on the control thread.
+ * @context: main context of the control thread
+ * @accept: takes a configuration
+ * @node: passed to @accept
+ */
+struct bb_feed_target {
+	GMainContext *context;
+	bb_feed_accept_fn *accept;
+	void *node;
+};
+
+/**
+ * struct bb_feed - delivers configurations whose hosts and backend servers are
+ * discovered, in place of a file or the configuration service.
+ * @start: begin to deliver; returns 0, or -1 with @err set
+ * @stop: deliver no more
+ * @data: passed to both
+ *
+ * The feed's reads are linearizable: what it delivers is in force at once, and
+ * the node that a group's ranking names first among the live ones holds it.
+ */
+struct bb_feed {
+	int (*start)(void *data, const struct bb_feed_target *to,
+		     struct bb_error *err);
+	void (*stop)(void *data);
+	void *data;
+};
+
 /**
  * bb_node_new() - create a node.
  * @settings: must stay valid until bb_node_delete()
  */
 struct bb_node *bb_node_new(const struct bb_settings *settings);
 
+/**
+ * bb_node_set_dialect() - use other names of headers; before bb_node_init().
+ * @n: node
+ * @d: must stay valid until bb_node_delete()
+ */
+void bb_node_set_dialect(struct bb_node *n, const struct bb_dialect *d);
+
+/**
+ * bb_node_set_feed() - get the configuration from a feed; before
+ * bb_node_init().
+ * @n: node
+ * @f: copied
+ */
+void bb_node_set_feed(struct bb_node *n, const struct bb_feed *f);
+
 /**
  * bb_node_init() - read the configuration, bind all ports, start threads.
  * @n: node
--- a/include/baobabward/retry.h
+++ b/include/baobabward/retry.h
@@ -15,6 +15,7 @@
 #define BAOBABWARD_RETRY_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "baobabward/verdict.h"
@@ -56,10 +57,45 @@
 	BB_RETRY_OVER_BUDGET,
 };
 
+/**
+ * struct bb_retry_limits - what a budget earns; in thousandths of a retry.
+ * @first_earns: for a first attempt
+ * @saved_most: most that can be saved up, so that a burst stays small
+ * @reserve_interval_us: time in which a quiet node gets one retry
+ */
+struct bb_retry_limits {
+	int64_t first_earns;
+	int64_t saved_most;
+	int64_t reserve_interval_us;
+};
+
+/**
+ * bb_retry_limits_default() - limits of a node that counts alone.
+ *
+ * Return: 10% of the first attempts and one retry a second.
+ */
+struct bb_retry_limits bb_retry_limits_default(void);
+
+/**
+ * bb_retry_limits_of_fleet() - limits whose sum over all nodes is bounded.
+ * @percent: share of the first attempts
+ * @slack: retries beyond that share that the fleet may make in @window_us
+ * @window_us: length of every window in which the sum is bounded
+ * @hosts: number of nodes, at least 1
+ *
+ * Each node may save up one retry; half of the slack that this leaves is the
+ * reserve, and the other half the margin for nodes that start anew.
+ */
+struct bb_retry_limits bb_retry_limits_of_fleet(uint32_t percent,
+						uint32_t slack,
+						int64_t window_us,
+						size_t hosts);
+
 /**
  * struct bb_retry_budget - budget of a node; shared by all its threads.
  * @tokens: thousandths of a retry that are left
  * @refilled_us: time up to which the reserve was refilled
+ * @limits: may be replaced by the thread that decides
  *
  * Initialize with bb_retry_budget_init(). All members are accessed
  * atomically.
@@ -67,6 +103,7 @@
 struct bb_retry_budget {
 	int64_t tokens;
 	int64_t refilled_us;
+	struct bb_retry_limits limits;
 };
 
 /**
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -32,9 +32,20 @@
  * struct bb_settings - checked settings.
  * @host: name of this host in the configuration
  * @listen: IP number for callers
- * @port: TCP port for callers
+ * @port: TCP port for callers; one that @listen gave goes before it
  * @admin_listen: IP number of the operator listener
  * @admin_port: TCP port of the operator listener
+ * @ready_path: path of the readiness check on the operator listener
+ * @local_service: service whose backend server is beside this node, or NULL
+ * @serve_stale: serve open routes also when the configuration is not known to
+ *               be current
+ * @retry_percent: share of first attempts that may be retried
+ * @retry_slack: retries of the whole fleet beyond that share in
+ *               @retry_window_s, 0 to bound each node alone
+ * @retry_window_s: length of the windows of @retry_slack
+ * @attempt_percent: share of the time left that an attempt of an idempotent
+ *                   request may use while another may follow
+ * @booking_wait_ms: longest wait of a non-idempotent request in a queue
  * @config_file: document of the embedded default, or NULL
  * @config_url: base URL of the configuration service, or NULL
  * @config_public_key: operators' Ed25519 key in hex, needed with @config_url
@@ -58,6 +69,14 @@
 	uint32_t port;
 	char *admin_listen;
 	uint32_t admin_port;
+	char *ready_path;
+	char *local_service;
+	uint32_t serve_stale;
+	uint32_t retry_percent;
+	uint32_t retry_slack;
+	uint32_t retry_window_s;
+	uint32_t attempt_percent;
+	uint32_t booking_wait_ms;
 	char *config_file;
 	char *config_url;
 	char *config_public_key;
@@ -87,6 +106,14 @@
 struct bb_settings *bb_settings_parse(int *argc, char ***argv, char **help,
 				      struct bb_error *err);
 
+/**
+ * bb_settings_parse_for_feed() - the same for a node whose configuration comes
+ * from a feed, so that no source of it has to be named.
+ */
+struct bb_settings *bb_settings_parse_for_feed(int *argc, char ***argv,
+					       char **help,
+					       struct bb_error *err);
+
 /**
  * bb_settings_json() - effective settings with their origin.
  * @s: settings
--- a/src/bench/bench_config.c
+++ b/src/bench/bench_config.c
@@ -273,7 +273,7 @@
 		int64_t start = bb_clock_now_us();
 
 		for (int i = 0; i < LOOKUPS; i++)
-			found += bb_config_match_route(c,
+			found += bb_config_match_route(c, NULL,
 						       paths->pdata[i & 1023],
 						       BB_METHOD_GET,
 						       &known) != BB_NO_ROW;
--- a/src/libconfig/config_columns.c
+++ b/src/libconfig/config_columns.c
@@ -18,6 +18,12 @@
 		      BB_BACKEND_STATE_COUNT,
 	      "a string for each backend server state");
 
+const char *const bb_access_string[] = { "internal", "open", "public" };
+
+static_assert(sizeof(bb_access_string) / sizeof(*bb_access_string) ==
+		      BB_ACCESS_COUNT,
+	      "a string for each access");
+
 const char *const bb_method_string[BB_METHOD_COUNT] = {
 	"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"
 };
@@ -32,6 +38,12 @@
 #define RATE_MAX 1000000000.0
 #define SLOTS_MAX 65535
 #define CONNECTIONS_MAX 1000000
+/* Services that may share one route. */
+#define SPLIT_MAX 64
+/* Lowest rank of a request. */
+#define PRIORITY_MAX 255
+/* More backend servers than any retry would try. */
+#define ATTEMPTS_MAX 64
 /* A request may take up to a day. */
 #define TIMEOUT_MAX_MS 86400000
 
@@ -42,6 +54,14 @@
 		.optional = (optional_)                                 \
 	}
 
+/* A column that is left out while it has its default value. */
+#define SPARSE(type, field, kind_, min_, max_)                          \
+	{                                                               \
+		.name = #field, .offset = offsetof(struct type, field), \
+		.min = (min_), .max = (max_), .kind = (kind_),          \
+		.optional = true, .sparse = true                        \
+	}
+
 static const struct bb_column host_columns[] = {
 	COLUMN(bb_host, name, BB_COLUMN_NAME, 0, 0, false),
 	COLUMN(bb_host, region, BB_COLUMN_NAME, 0, 0, false),
@@ -55,6 +75,7 @@
 static const struct bb_column service_columns[] = {
 	COLUMN(bb_service, name, BB_COLUMN_NAME, 0, 0, false),
 	COLUMN(bb_service, floor_percent, BB_COLUMN_U32, 0, 100, false),
+	SPARSE(bb_service, health_path, BB_COLUMN_PATH, 0, 0),
 };
 
 static const struct bb_column backend_columns[] = {
@@ -75,12 +96,15 @@
 	COLUMN(bb_route, path_prefix, BB_COLUMN_PATH, 0, 0, false),
 	COLUMN(bb_route, methods, BB_COLUMN_METHODS, 0, 0, false),
 	COLUMN(bb_route, service, BB_COLUMN_SERVICE, 0, 0, false),
+	SPARSE(bb_route, host_name, BB_COLUMN_NAME, 0, 0),
+	SPARSE(bb_route, split, BB_COLUMN_SPLIT, 0, 0),
 	COLUMN(bb_route, idempotent, BB_COLUMN_BOOL, 0, 0, false),
-	{ .name = "access",
-	  .offset = offsetof(struct bb_route, open),
-	  .kind = BB_COLUMN_ACCESS },
+	COLUMN(bb_route, access, BB_COLUMN_ACCESS, 0, 0, false),
 	COLUMN(bb_route, max_body_bytes, BB_COLUMN_U32, 0, UINT32_MAX, false),
 	COLUMN(bb_route, timeout_ms, BB_COLUMN_U32, 1, TIMEOUT_MAX_MS, false),
+	SPARSE(bb_route, target_latency_ms, BB_COLUMN_U32, 0, TIMEOUT_MAX_MS),
+	SPARSE(bb_route, priority, BB_COLUMN_U32, 0, PRIORITY_MAX),
+	SPARSE(bb_route, max_attempts, BB_COLUMN_U32, 0, ATTEMPTS_MAX),
 };
 
 static const struct bb_column account_columns[] = {
@@ -89,6 +113,9 @@
 	COLUMN(bb_account, burst, BB_COLUMN_REAL, 1, RATE_MAX, false),
 	COLUMN(bb_account, weight, BB_COLUMN_REAL, WEIGHT_MIN, WEIGHT_MAX,
 	       false),
+	SPARSE(bb_account, unlimited, BB_COLUMN_BOOL, 0, 0),
+	SPARSE(bb_account, ranked, BB_COLUMN_BOOL, 0, 0),
+	SPARSE(bb_account, priority, BB_COLUMN_U32, 0, PRIORITY_MAX),
 	COLUMN(bb_account, key_hashes, BB_COLUMN_KEY_HASHES, 0, 0, false),
 };
 
@@ -242,14 +269,12 @@
 	return inet_pton(AF_INET6, address + 1, binary) == 1;
 }
 
-/* "/" or segments without empty, "." and ".." ones. */
+/* Segments without empty, "." and ".." ones; a '/' may end it. */
 static bool is_path_prefix(const char *s)
 {
 	if (s[0] != '/' || strpbrk(s, "?#%"))
 		return false;
-	if (!s[1])
-		return true;
-	while (*s) {
+	while (*s && s[1]) {
 		size_t size = strcspn(++s, "/");
 
 		if (!size || (size == 1 && s[0] == '.') ||
@@ -362,15 +387,61 @@
 }
 
 static int read_access(const struct bb_place *place, const json_t *value,
-		       bool *open, struct bb_error *err)
+		       enum bb_access *access, struct bb_error *err)
 {
 	const char *s = read_text(place, value, BB_NAME_MAX, err);
 
 	if (!s)
 		return -1;
-	*open = !strcmp(s, "open");
-	if (!*open && strcmp(s, "internal") != 0)
-		return fail_value(place, s, "is not open or internal", err);
+	for (int i = 0; i < BB_ACCESS_COUNT; i++) {
+		if (!strcmp(s, bb_access_string[i])) {
+			*access = i;
+			return 0;
+		}
+	}
+	return fail_value(place, s, "is not internal, open or public", err);
+}
+
+static int read_part(struct bb_config_builder *b, const struct bb_place *place,
+		     const json_t *item, struct bb_part *part,
+		     struct bb_error *err)
+{
+	const struct bb_column weight = { .kind = BB_COLUMN_REAL,
+					  .min = WEIGHT_MIN,
+					  .max = WEIGHT_MAX };
+
+	if (!json_is_object(item) || json_object_size(item) != 2)
+		return bb_place_fail(place, err,
+				     "part is not an object with service and "
+				     "weight");
+	if (read_reference(b, BB_TABLE_SERVICES, "service", place,
+			   json_object_get(item, "service"), &part->service,
+			   err))
+		return -1;
+	return read_number(&weight, place, json_object_get(item, "weight"),
+			   &part->weight, err);
+}
+
+static int read_split(struct bb_config_builder *b, const struct bb_place *place,
+		      const json_t *value, struct bb_route *r,
+		      struct bb_error *err)
+{
+	size_t nr = json_array_size(value);
+	size_t i;
+	json_t *item;
+
+	if (!nr || nr > SPLIT_MAX)
+		return bb_place_fail(place, err,
+				     "value is not a list of 1 to %d parts",
+				     SPLIT_MAX);
+	r->split = g_new0(struct bb_part, nr);
+	r->split_nr = nr;
+	json_array_foreach (value, i, item)
+		if (read_part(b, place, item, &r->split[i], err))
+			return -1;
+	if (r->split[0].service != r->service)
+		return bb_place_fail(place, err,
+				     "first part is not the column service");
 	return 0;
 }
 
@@ -460,6 +531,12 @@
 		return read_methods(place, value, field, err);
 	case BB_COLUMN_ACCESS:
 		return read_access(place, value, field, err);
+	case BB_COLUMN_SPLIT:
+		return read_split(
+			b, place, value,
+			(void *)((char *)field -
+				 offsetof(struct bb_route, split)),
+			err);
 	case BB_COLUMN_KEY_HASHES:
 		return read_key_hashes(
 			place, value,
--- a/src/libconfig/config_index.c
+++ b/src/libconfig/config_index.c
@@ -240,13 +240,50 @@
 	return i;
 }
 
+/* Parent of the roots of the routes with a host name. */
+#define HOST_ROOTS (BB_NO_ROW - 1)
+
+/* Root of the paths of a host name; 0 without one. */
+static uint32_t find_root(const struct bb_config *c, const char *host)
+{
+	uint32_t root;
+	char *lower;
+
+	if (!host)
+		return 0;
+	lower = g_ascii_strdown(host, -1);
+	root = find_child(c, HOST_ROOTS, lower, strlen(lower));
+	g_free(lower);
+	return root;
+}
+
+static uint32_t get_root(struct bb_config *c, const char *host)
+{
+	uint32_t root = find_root(c, host);
+	char *lower;
+
+	if (root != BB_NO_ROW)
+		return root;
+	lower = g_ascii_strdown(host, -1);
+	root = add_child(
+		c, HOST_ROOTS,
+		g_string_chunk_insert_const(c->index->strings, lower),
+		strlen(lower));
+	g_free(lower);
+	return root;
+}
+
+/*
+ * A prefix that ends in '/' has an empty last segment, below which any path
+ * continues; "/" itself is the root.
+ */
 uint32_t bb_config_index_route(struct bb_config *c, uint32_t route)
 {
 	const char *s = c->routes[route].path_prefix;
-	uint32_t node = 0;
+	uint32_t node = get_root(c, c->routes[route].host_name);
 	uint32_t next;
 
-	while (s[0] == '/' && s[1]) {
+	while (s[0] == '/' && (s[1] || s != c->routes[route].path_prefix)) {
 		size_t size = strcspn(++s, "/");
 		uint32_t child = find_child(c, node, s, size);
 
@@ -265,30 +302,63 @@
 	return BB_NO_ROW;
 }
 
-uint32_t bb_config_match_route(const struct bb_config *c, const char *path,
-			       unsigned int method, bool *path_known)
+static void take_routes(const struct bb_config *c, uint32_t node,
+			uint32_t *first)
+{
+	if (node != BB_NO_ROW && path_node(c, node)->first_route != BB_NO_ROW)
+		*first = path_node(c, node)->first_route;
+}
+
+/* First route of the longest prefix below a root, or BB_NO_ROW. */
+static uint32_t longest_prefix(const struct bb_config *c, uint32_t root,
+			       const char *path)
 {
-	uint32_t node = 0;
-	uint32_t first = path_node(c, 0)->first_route;
+	uint32_t node = root;
+	uint32_t first = path_node(c, root)->first_route;
 	const char *s = path;
 
-	*path_known = false;
-	if (s[0] != '/')
-		return BB_NO_ROW;
 	while (s[0] == '/') {
 		size_t size = strcspn(++s, "/");
 
+		if (node != root)
+			take_routes(c, find_child(c, node, "", 0), &first);
 		node = find_child(c, node, s, size);
 		if (node == BB_NO_ROW)
 			break;
-		if (path_node(c, node)->first_route != BB_NO_ROW)
-			first = path_node(c, node)->first_route;
+		take_routes(c, node, &first);
 		s += size;
 	}
+	return first;
+}
+
+static uint32_t route_of_method(const struct bb_config *c, uint32_t first,
+				unsigned int method)
+{
 	for (uint32_t i = first; i != BB_NO_ROW;
 	     i = g_array_index(c->index->route_next, uint32_t, i))
 		if (c->routes[i].methods & method)
 			return i;
-	*path_known = first != BB_NO_ROW;
+	return BB_NO_ROW;
+}
+
+uint32_t bb_config_match_route(const struct bb_config *c, const char *host,
+			       const char *path, unsigned int method,
+			       bool *path_known)
+{
+	uint32_t roots[] = { find_root(c, host), 0 };
+
+	*path_known = false;
+	if (path[0] != '/')
+		return BB_NO_ROW;
+	for (size_t i = host ? 0 : 1; i < G_N_ELEMENTS(roots); i++) {
+		uint32_t first = roots[i] == BB_NO_ROW ?
+					 BB_NO_ROW :
+					 longest_prefix(c, roots[i], path);
+		uint32_t route = route_of_method(c, first, method);
+
+		if (route != BB_NO_ROW)
+			return route;
+		*path_known = *path_known || first != BB_NO_ROW;
+	}
 	return BB_NO_ROW;
 }
--- a/src/libconfig/config_internal.h
+++ b/src/libconfig/config_internal.h
@@ -10,6 +10,8 @@
 
 #include "baobabward/config.h"
 
+/* Health endpoint of the backend servers of a service that names none. */
+#define BB_HEALTH_PATH_DEFAULT "/health"
 /* Longest accepted path prefix, in bytes. */
 #define BB_PATH_PREFIX_MAX 1024
 
@@ -42,6 +44,7 @@
 	BB_COLUMN_STATE,
 	BB_COLUMN_METHODS,
 	BB_COLUMN_ACCESS,
+	BB_COLUMN_SPLIT,
 	BB_COLUMN_KEY_HASHES,
 	BB_COLUMN_KIND_COUNT
 };
@@ -54,6 +57,7 @@
  * @max: greatest number, for numeric kinds
  * @kind: type of the value
  * @optional: the field may be missing
+ * @sparse: the field is not written while it has its default value
  */
 struct bb_column {
 	const char *name;
@@ -62,6 +66,7 @@
 	double max;
 	enum bb_column_kind kind;
 	bool optional;
+	bool sparse;
 };
 
 struct bb_table_description {
--- a/src/libconfig/config_parse.c
+++ b/src/libconfig/config_parse.c
@@ -83,6 +83,8 @@
 		g_free(c->services[i].backends);
 	for (size_t i = 0; i < c->accounts_nr; i++)
 		g_free(c->accounts[i].key_hashes);
+	for (size_t i = 0; i < c->routes_nr; i++)
+		g_free(c->routes[i].split);
 	g_free(c->hosts);
 	g_free(c->services);
 	g_free(c->backends);
@@ -258,6 +260,9 @@
 	case BB_TABLE_ACCOUNTS:
 		return finish_account(b, place, row, err);
 	case BB_TABLE_SERVICES:
+		if (!c->services[row].health_path)
+			c->services[row].health_path = BB_HEALTH_PATH_DEFAULT;
+		return 0;
 	case BB_TABLE_COUNT:
 		break;
 	}
--- a/src/libconfig/config_write.c
+++ b/src/libconfig/config_write.c
@@ -54,6 +54,21 @@
 	g_string_append_c(out, ']');
 }
 
+static void write_split(GString *out, const struct bb_config *c,
+			const struct bb_route *r)
+{
+	g_string_append_c(out, '[');
+	for (size_t i = 0; i < r->split_nr; i++) {
+		g_string_append(out, i ? ",{\"service\":" : "{\"service\":");
+		bb_config_write_string(out,
+				       c->services[r->split[i].service].name);
+		g_string_append(out, ",\"weight\":");
+		write_real(out, r->split[i].weight);
+		g_string_append_c(out, '}');
+	}
+	g_string_append_c(out, ']');
+}
+
 void bb_config_write_value(GString *out, const struct bb_config *c,
 			   const struct bb_column *column, const void *row)
 {
@@ -98,8 +113,11 @@
 		write_methods(out, *(const unsigned int *)field);
 		break;
 	case BB_COLUMN_ACCESS:
-		g_string_append(out, *(const bool *)field ? "\"open\"" :
-							    "\"internal\"");
+		bb_config_write_string(
+			out, bb_access_string[*(const enum bb_access *)field]);
+		break;
+	case BB_COLUMN_SPLIT:
+		write_split(out, c, row);
 		break;
 	case BB_COLUMN_KEY_HASHES:
 		write_key_hashes(out, row);
@@ -109,12 +127,34 @@
 	}
 }
 
+/* Sparse columns have one of these kinds. */
+static bool has_default(const struct bb_column *column, const void *row)
+{
+	const void *field = (const char *)row + column->offset;
+
+	switch (column->kind) {
+	case BB_COLUMN_PATH:
+		return !strcmp(*(char *const *)field, BB_HEALTH_PATH_DEFAULT);
+	case BB_COLUMN_NAME:
+	case BB_COLUMN_SPLIT:
+		return !*(void *const *)field;
+	case BB_COLUMN_U32:
+		return !*(const uint32_t *)field;
+	case BB_COLUMN_BOOL:
+		return !*(const bool *)field;
+	default:
+		return false;
+	}
+}
+
 void bb_config_write_row(GString *out, const struct bb_config *c,
 			 enum bb_table table, const void *row)
 {
 	const struct bb_table_description *t = &bb_tables[table];
 
 	for (size_t i = 0; i < t->columns_nr; i++) {
+		if (t->columns[i].sparse && has_default(&t->columns[i], row))
+			continue;
 		g_string_append(out, i ? ",\"" : "{\"");
 		g_string_append(out, t->columns[i].name);
 		g_string_append(out, "\":");
--- a/src/libconfig/table.c
+++ b/src/libconfig/table.c
@@ -144,6 +144,13 @@
 	return list;
 }
 
+static json_t *bool_value(const char *s)
+{
+	if (strcmp(s, "true") != 0 && strcmp(s, "false") != 0)
+		return NULL;
+	return json_boolean(*s == 't');
+}
+
 static json_t *cell_value(const struct bb_column *column, const char *s)
 {
 	switch (column->kind) {
@@ -153,6 +160,8 @@
 		return number_value(s, false);
 	case BB_COLUMN_KEY_HASHES:
 		return hashes_value(s);
+	case BB_COLUMN_BOOL:
+		return bool_value(s);
 	default:
 		return json_string(s);
 	}
@@ -186,6 +195,8 @@
 				     "is not a whole number" :
 			     column->kind == BB_COLUMN_REAL ?
 				     "is not a decimal number" :
+			     column->kind == BB_COLUMN_BOOL ?
+				     "is not true or false" :
 				     "is not UTF-8");
 		else
 			json_object_set_new(row, header, value);
--- a/src/libcore/verdict.c
+++ b/src/libcore/verdict.c
@@ -42,6 +42,8 @@
 	{ 404, BB_REASON_KEY_UNUSED },
 	{ 503, BB_REASON_RECORD_UNAVAILABLE },
 	{ 500, BB_REASON_INTERNAL },
+	{ 503, BB_REASON_BACKEND_REFUSED },
+	{ 503, BB_REASON_MISDIRECTED },
 };
 
 static_assert(sizeof(reason_status) / sizeof(*reason_status) == BB_REASON_COUNT,
@@ -78,6 +80,8 @@
 	"key-unused",
 	"record-unavailable",
 	"internal",
+	"backend-server-refused",
+	"misdirected",
 };
 
 static_assert(sizeof(bb_reason_string) / sizeof(*bb_reason_string) ==
--- a/src/liblimit/drawer.c
+++ b/src/liblimit/drawer.c
@@ -75,7 +75,7 @@
 		d->o.report_us = BB_DRAWER_REPORT_US;
 	d->self = XXH3_64bits(o->self, strlen(o->self));
 	d->o.self = NULL;
-	d->candidates_us = INT64_MIN;
+	bb_drawer_forget_candidates(d);
 	d->swept_us = INT64_MIN;
 	d->silent = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
@@ -113,7 +113,7 @@
 	bb_lease_map_ref(m);
 	bb_lease_map_unref(d->map);
 	d->map = m;
-	d->candidates_us = INT64_MIN;
+	bb_drawer_forget_candidates(d);
 }
 
 static void send_batch(struct bb_drawer *d, struct batch *b, int64_t now_us)
@@ -248,7 +248,6 @@
 
 	if (!d->map)
 		return;
-	bb_drawer_refresh(d, now_us);
 	give_up_lost(d, now_us);
 	if (full)
 		d->swept_us = now_us;
@@ -351,7 +350,6 @@
 	if (!link || f->host != bb_lease_map_host_id(d->map, from_host) ||
 	    r->grants_nr != f->slots->len)
 		return;
-	bb_drawer_refresh(d, now_us);
 	g_queue_delete_link(&d->flights, link);
 	for (guint i = 0; i < f->slots->len; i++)
 		receive_grant(d, f, g_ptr_array_index(f->slots, i),
--- a/src/liblimit/drawer_decide.c
+++ b/src/liblimit/drawer_decide.c
@@ -42,7 +42,11 @@
 
 	c->nr = 0;
 	for (uint32_t i = 0; i < CANDIDATES; i++) {
-		uint32_t host = bb_prefer_nth(d->map, group, (first + i) % 2,
+		uint32_t host =
+			bb_lease_map_holders(d->map) == 1 ?
+				bb_prefer_nth(d->map, group, 0, i, d->o.alive,
+					      d->o.data, now_us) :
+				bb_prefer_nth(d->map, group, (first + i) % 2,
 					      i / 2, d->o.alive, d->o.data,
 					      now_us);
 		uint64_t id;
@@ -55,14 +59,23 @@
 	}
 }
 
-void bb_drawer_refresh(struct bb_drawer *d, int64_t now_us)
+void bb_drawer_forget_candidates(struct bb_drawer *d)
 {
-	if (d->candidates_us != INT64_MIN &&
-	    now_us - d->candidates_us < SWEEP_US)
-		return;
-	d->candidates_us = now_us;
 	for (uint32_t group = 0; group < BB_LEASE_GROUPS; group++)
+		d->candidates[group].found_us = INT64_MIN;
+}
+
+/* Only groups with accounts in use are looked at. */
+static const struct candidates *get_candidates(struct bb_drawer *d,
+					       uint32_t group, int64_t now_us)
+{
+	struct candidates *c = &d->candidates[group];
+
+	if (c->found_us == INT64_MIN || now_us - c->found_us >= SWEEP_US) {
+		c->found_us = now_us;
 		find_candidates(d, group, now_us);
+	}
+	return c;
 }
 
 static bool is_silent(const struct bb_drawer *d, uint64_t host, int64_t now_us)
@@ -174,7 +187,7 @@
 static int64_t draw_first(struct bb_drawer *d, struct slot *s, int64_t wanted,
 			  int64_t now_us)
 {
-	const struct candidates *c = &d->candidates[s->group];
+	const struct candidates *c = get_candidates(d, s->group, now_us);
 	int64_t next_us = INT64_MAX;
 	struct pool *oldest = NULL;
 	uint32_t oldest_host = 0;
@@ -216,7 +229,7 @@
 static bool draw_ahead(struct bb_drawer *d, struct slot *s, int64_t wanted,
 		       int64_t now_us)
 {
-	const struct candidates *c = &d->candidates[s->group];
+	const struct candidates *c = get_candidates(d, s->group, now_us);
 	uint32_t nr = MIN(c->nr, BB_LEASE_HOLDERS);
 
 	for (uint32_t k = 0; k < nr; k++) {
--- a/src/liblimit/drawer_private.h
+++ b/src/liblimit/drawer_private.h
@@ -105,6 +105,7 @@
 };
 
 struct candidates {
+	int64_t found_us;
 	uint32_t nr;
 	uint32_t hosts[CANDIDATES];
 	uint64_t ids[CANDIDATES];
@@ -116,7 +117,6 @@
 	struct bb_lease_map *map;
 	uint64_t nonce;
 	unsigned int accounts;
-	int64_t candidates_us;
 	int64_t swept_us;
 	struct candidates candidates[BB_LEASE_GROUPS];
 	GHashTable *silent;
@@ -150,7 +150,7 @@
 /* Decisions, on the control thread; with the shard locked where a slot is
  * handed over. */
 bool bb_slot_under_way(const struct slot *s);
-void bb_drawer_refresh(struct bb_drawer *d, int64_t now_us);
+void bb_drawer_forget_candidates(struct bb_drawer *d);
 void bb_drawer_report(struct bb_drawer *d, struct slot *s, bool stopping,
 		      int64_t now_us);
 void bb_drawer_decide(struct bb_drawer *d, struct slot *s, int64_t now_us);
--- a/src/liblimit/holder.c
+++ b/src/liblimit/holder.c
@@ -13,6 +13,10 @@
 #define RETRY_US (1 * BB_US_PER_S)
 /* A refused lease is asked for again after this time. */
 #define REFUSED_US (2 * BB_US_PER_S)
+/* Validity of a group that is held by rank; longer than some ticks. */
+#define RANKED_TERM_US (1200 * BB_US_PER_MS)
+/* Reachable hosts, in thousandths, below which a part of a group is held. */
+#define RANKED_WHOLE_PERMILLE 500
 /* Requests to one lender whose answers are awaited. */
 #define ASKED_MAX 4
 
@@ -181,10 +185,40 @@
 	}
 }
 
+static void mark_group(bool *used, const char *name)
+{
+	used[bb_lease_group(name, strlen(name))] = true;
+}
+
+/*
+ * Groups in whose committee this host is. Without leases, only those of client
+ * accounts and services: no other may be asked for.
+ */
+static void find_own_groups(struct bb_holder *h, const struct bb_config *c)
+{
+	uint32_t seats = bb_lease_map_seats(h->map);
+	bool used[BB_LEASE_GROUPS] = { 0 };
+
+	for (size_t i = 0; i < c->accounts_nr; i++)
+		mark_group(used, c->accounts[i].name);
+	for (size_t i = 0; i < c->services_nr; i++)
+		mark_group(used, c->services[i].name);
+	g_array_set_size(h->own_groups, 0);
+	for (uint32_t group = 0; group < BB_LEASE_GROUPS; group++) {
+		if (h->o.reachable && !used[group])
+			continue;
+		for (uint32_t rank = 0; rank < seats; rank++) {
+			uint32_t host = bb_lease_map_seat(h->map, group, rank);
+
+			if (bb_lease_map_host_id(h->map, host) == h->self)
+				g_array_append_val(h->own_groups, group);
+		}
+	}
+}
+
 void bb_holder_set_config(struct bb_holder *h, const struct bb_config *c,
 			  struct bb_lease_map *m, int64_t now_us)
 {
-	uint32_t seats = bb_lease_map_seats(m);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -192,13 +226,7 @@
 	bb_lease_map_unref(h->map);
 	h->map = m;
 	h->version = c->version;
-	g_array_set_size(h->own_groups, 0);
-	for (uint32_t group = 0; group < BB_LEASE_GROUPS; group++)
-		for (uint32_t rank = 0; rank < seats; rank++)
-			if (bb_lease_map_host_id(m, bb_lease_map_seat(m, group,
-								      rank)) ==
-			    h->self)
-				g_array_append_val(h->own_groups, group);
+	find_own_groups(h, c);
 	g_hash_table_iter_init(&iter, h->held);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		drop_former_seats(h, value, now_us);
@@ -265,6 +293,49 @@
 	}
 }
 
+/* Takes a group that is held by rank, or renews it. */
+static void hold_ranked(struct bb_holder *h, uint32_t group, uint32_t permille,
+			int64_t now_us)
+{
+	uint32_t host = bb_prefer_nth(h->map, group, 0, 0, h->o.alive,
+				      h->o.data, now_us);
+	bool first = bb_lease_map_host_id(h->map, host) == h->self;
+	struct held *e = first ? get_held(h, group) : find_held(h, group);
+	struct seat *s;
+
+	if (!e)
+		return;
+	s = get_seat(e, h->self);
+	if (!first || s->until_us <= now_us) {
+		advance(e, now_us);
+		s->until_us = MIN(s->until_us, now_us);
+	}
+	if (!first)
+		return;
+	if (s->until_us <= now_us) {
+		if (h->user.settle)
+			h->user.settle(h->user.data, group, now_us);
+		e->since = e->integral;
+		s->since_us = now_us;
+		s->counted_us = now_us;
+	}
+	advance(e, now_us);
+	s->share = permille >= RANKED_WHOLE_PERMILLE ?
+			   BB_LEASE_SHARE_ONE :
+			   (uint32_t)((uint64_t)BB_LEASE_SHARE_ONE * permille /
+				      1000);
+	s->until_us = now_us + RANKED_TERM_US;
+}
+
+static void hold_all_ranked(struct bb_holder *h, int64_t now_us)
+{
+	uint32_t permille = h->o.reachable(h->o.data, now_us);
+
+	for (guint i = 0; i < h->own_groups->len; i++)
+		hold_ranked(h, g_array_index(h->own_groups, uint32_t, i),
+			    permille, now_us);
+}
+
 static void send_request(struct bb_holder *h, struct lender *l, int64_t now_us)
 {
 	struct bb_message m = { .type = BB_MESSAGE_LEASE_REQUEST };
@@ -318,6 +389,10 @@
 
 	if (!h->map)
 		return;
+	if (h->o.reachable && !h->stopping) {
+		hold_all_ranked(h, now_us);
+		return;
+	}
 	for (guint i = 0; !h->stopping && i < h->own_groups->len; i++)
 		want_group(h, g_array_index(h->own_groups, uint32_t, i),
 			   now_us);
@@ -410,6 +485,12 @@
 			      now_us);
 }
 
+/* One entry stands for all seats of a group that is held by rank. */
+static uint32_t all_seats(const struct bb_holder *h, uint32_t nr)
+{
+	return h->o.reachable && nr ? bb_lease_map_seats(h->map) : nr;
+}
+
 uint32_t bb_holder_seats(const struct bb_holder *h, uint32_t group,
 			 int64_t now_us)
 {
@@ -418,7 +499,7 @@
 
 	for (guint i = 0; e && i < e->seats->len; i++)
 		nr += now_us < g_array_index(e->seats, struct seat, i).until_us;
-	return nr;
+	return all_seats(h, nr);
 }
 
 uint32_t bb_holder_seats_since(const struct bb_holder *h, uint32_t group,
@@ -432,7 +513,7 @@
 
 		nr += now_us < s->until_us && s->since_us <= since_us;
 	}
-	return nr;
+	return all_seats(h, nr);
 }
 
 uint32_t bb_holder_share(const struct bb_holder *h, uint32_t group,
--- /dev/null
+++ b/src/libmember/directory.c
@@ -0,0 +1,342 @@
+#include "baobabward/directory.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "baobabward/clock.h"
+
+/* A backend server that lives registers again within 2 s of the return. */
+#define RETURN_DEFAULT_US (2200 * BB_US_PER_MS)
+/* Longer than a host whose backend server restarts is without an entry. */
+#define HOST_KEEP_DEFAULT_US (60 * BB_US_PER_S)
+
+/*
+ * @entry: owned texts
+ * @listed: part of the list that is being read
+ * @drop_us: it is missing, and dropped at this time; INT64_MAX if present
+ */
+struct item {
+	struct bb_directory_entry entry;
+	bool listed;
+	int64_t drop_us;
+};
+
+/* @last_us: last time at which it had an entry */
+struct host {
+	char *address;
+	char *zone;
+	int64_t last_us;
+};
+
+struct bb_directory {
+	struct bb_directory_options o;
+	char *self_address;
+	char *self_zone;
+	GTree *items;
+	GTree *hosts;
+	int64_t regained_us;
+	bool lost;
+	bool changed;
+};
+
+static void item_delete(gpointer data)
+{
+	struct item *i = data;
+
+	g_free(i->entry.id);
+	g_free(i->entry.service);
+	g_free(i->entry.zone);
+	g_free(i->entry.address);
+	g_free(i);
+}
+
+static void host_delete(gpointer data)
+{
+	struct host *h = data;
+
+	g_free(h->address);
+	g_free(h->zone);
+	g_free(h);
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+struct bb_directory *bb_directory_new(const struct bb_directory_options *o)
+{
+	struct bb_directory *d = g_new0(struct bb_directory, 1);
+
+	d->o = *o;
+	if (!d->o.return_us)
+		d->o.return_us = RETURN_DEFAULT_US;
+	if (!d->o.host_keep_us)
+		d->o.host_keep_us = HOST_KEEP_DEFAULT_US;
+	d->self_address = g_strdup(o->self_address);
+	d->self_zone = g_strdup(o->self_zone);
+	d->items = g_tree_new_full(compare_names, NULL, NULL, item_delete);
+	d->hosts = g_tree_new_full(compare_names, NULL, NULL, host_delete);
+	d->regained_us = INT64_MIN / 2;
+	d->changed = true;
+	return d;
+}
+
+void bb_directory_delete(struct bb_directory *d)
+{
+	if (!d)
+		return;
+	g_tree_destroy(d->items);
+	g_tree_destroy(d->hosts);
+	g_free(d->self_address);
+	g_free(d->self_zone);
+	g_free(d);
+}
+
+/* The zone of the last entry counts; an address may change hands. */
+static void note_host(struct bb_directory *d,
+		      const struct bb_directory_entry *e, int64_t now_us)
+{
+	struct host *h = g_tree_lookup(d->hosts, e->address);
+
+	if (!h) {
+		h = g_new0(struct host, 1);
+		h->address = g_strdup(e->address);
+		g_tree_insert(d->hosts, h->address, h);
+		d->changed = true;
+	}
+	if (g_strcmp0(h->zone, e->zone) != 0) {
+		g_free(h->zone);
+		h->zone = g_strdup(e->zone);
+		d->changed = true;
+	}
+	h->last_us = now_us;
+}
+
+static bool same_entry(const struct bb_directory_entry *a,
+		       const struct bb_directory_entry *b)
+{
+	return !strcmp(a->service, b->service) && !strcmp(a->zone, b->zone) &&
+	       !strcmp(a->address, b->address) && a->slots == b->slots &&
+	       a->leaving == b->leaving && a->started_ms == b->started_ms;
+}
+
+void bb_directory_put(struct bb_directory *d,
+		      const struct bb_directory_entry *e, int64_t now_us)
+{
+	struct item *i = g_tree_lookup(d->items, e->id);
+
+	if (i && i->entry.started_ms > e->started_ms) {
+		i->listed = true;
+		return;
+	}
+	note_host(d, e, now_us);
+	if (i && same_entry(&i->entry, e)) {
+		i->listed = true;
+		i->drop_us = INT64_MAX;
+		return;
+	}
+	i = g_new0(struct item, 1);
+	i->entry = *e;
+	i->entry.id = g_strdup(e->id);
+	i->entry.service = g_strdup(e->service);
+	i->entry.zone = g_strdup(e->zone);
+	i->entry.address = g_strdup(e->address);
+	i->listed = true;
+	i->drop_us = INT64_MAX;
+	g_tree_replace(d->items, i->entry.id, i);
+	d->changed = true;
+}
+
+/* Entries may lapse while the registry is away, and come back soon after. */
+static int64_t drop_time(const struct bb_directory *d, int64_t now_us)
+{
+	return MAX(now_us, d->regained_us + d->o.return_us);
+}
+
+void bb_directory_remove(struct bb_directory *d, const char *id, int64_t now_us)
+{
+	struct item *i = g_tree_lookup(d->items, id);
+
+	if (i)
+		i->drop_us = MIN(i->drop_us, drop_time(d, now_us));
+}
+
+static gboolean clear_listed(gpointer key, gpointer value, gpointer data)
+{
+	struct item *i = value;
+
+	(void)key;
+	(void)data;
+	i->listed = false;
+	return FALSE;
+}
+
+void bb_directory_begin_list(struct bb_directory *d)
+{
+	g_tree_foreach(d->items, clear_listed, NULL);
+}
+
+static gboolean drop_unlisted(gpointer key, gpointer value, gpointer data)
+{
+	const int64_t *drop_us = data;
+	struct item *i = value;
+
+	(void)key;
+	if (!i->listed)
+		i->drop_us = MIN(i->drop_us, *drop_us);
+	return FALSE;
+}
+
+void bb_directory_end_list(struct bb_directory *d, int64_t now_us)
+{
+	int64_t drop_us = drop_time(d, now_us);
+
+	g_tree_foreach(d->items, drop_unlisted, &drop_us);
+}
+
+void bb_directory_lost(struct bb_directory *d)
+{
+	d->lost = true;
+}
+
+void bb_directory_regained(struct bb_directory *d, int64_t now_us)
+{
+	if (d->lost)
+		d->regained_us = now_us;
+	d->lost = false;
+}
+
+/* What is due at a time. */
+struct sweep {
+	struct bb_directory *directory;
+	int64_t now_us;
+	GPtrArray *names;
+};
+
+static gboolean collect_item(gpointer key, gpointer value, gpointer data)
+{
+	struct sweep *s = data;
+	struct item *i = value;
+	struct host *h;
+
+	if (s->now_us >= i->drop_us) {
+		g_ptr_array_add(s->names, key);
+		return FALSE;
+	}
+	h = g_tree_lookup(s->directory->hosts, i->entry.address);
+	if (h)
+		h->last_us = s->now_us;
+	return FALSE;
+}
+
+static gboolean collect_host(gpointer key, gpointer value, gpointer data)
+{
+	struct sweep *s = data;
+	const struct host *h = value;
+
+	if (s->now_us - h->last_us >= s->directory->o.host_keep_us)
+		g_ptr_array_add(s->names, key);
+	return FALSE;
+}
+
+static void sweep(struct sweep *s, GTree *tree, GTraverseFunc collect)
+{
+	s->names = g_ptr_array_new();
+	g_tree_foreach(tree, collect, s);
+	for (guint i = 0; i < s->names->len; i++)
+		g_tree_remove(tree, s->names->pdata[i]);
+	if (s->names->len)
+		s->directory->changed = true;
+	g_ptr_array_free(s->names, TRUE);
+}
+
+bool bb_directory_tick(struct bb_directory *d, int64_t now_us)
+{
+	struct sweep s = { d, now_us, NULL };
+	bool changed;
+
+	/* While nothing can be read, nothing can be dropped either. */
+	if (!d->lost) {
+		sweep(&s, d->items, collect_item);
+		sweep(&s, d->hosts, collect_host);
+	}
+	changed = d->changed;
+	d->changed = false;
+	return changed;
+}
+
+struct listing {
+	GHashTable *by_address;
+	GPtrArray *entries;
+};
+
+static gboolean note_latest(gpointer key, gpointer value, gpointer data)
+{
+	struct listing *l = data;
+	const struct item *i = value;
+	const struct item *other =
+		g_hash_table_lookup(l->by_address, i->entry.address);
+
+	(void)key;
+	if (!other || other->entry.started_ms < i->entry.started_ms)
+		g_hash_table_replace(l->by_address, i->entry.address, value);
+	return FALSE;
+}
+
+static gboolean list_latest(gpointer key, gpointer value, gpointer data)
+{
+	struct listing *l = data;
+	struct item *i = value;
+
+	(void)key;
+	if (g_hash_table_lookup(l->by_address, i->entry.address) == i)
+		g_ptr_array_add(l->entries, &i->entry);
+	return FALSE;
+}
+
+const struct bb_directory_entry **bb_directory_entries(struct bb_directory *d,
+						       size_t *nr)
+{
+	struct listing l = { g_hash_table_new(g_str_hash, g_str_equal),
+			     g_ptr_array_new() };
+
+	g_tree_foreach(d->items, note_latest, &l);
+	g_tree_foreach(d->items, list_latest, &l);
+	g_hash_table_destroy(l.by_address);
+	*nr = l.entries->len;
+	return (const struct bb_directory_entry **)g_ptr_array_free(l.entries,
+								    FALSE);
+}
+
+static gboolean list_host(gpointer key, gpointer value, gpointer data)
+{
+	const struct host *h = value;
+	struct bb_directory_host row = { h->address, h->zone };
+
+	(void)key;
+	g_array_append_val((GArray *)data, row);
+	return FALSE;
+}
+
+static gint compare_hosts(gconstpointer a, gconstpointer b)
+{
+	const struct bb_directory_host *x = a, *y = b;
+
+	return strcmp(x->address, y->address);
+}
+
+struct bb_directory_host *bb_directory_hosts(struct bb_directory *d, size_t *nr)
+{
+	GArray *rows =
+		g_array_new(FALSE, FALSE, sizeof(struct bb_directory_host));
+	struct bb_directory_host self = { d->self_address, d->self_zone };
+
+	g_tree_foreach(d->hosts, list_host, rows);
+	if (!g_tree_lookup(d->hosts, d->self_address))
+		g_array_append_val(rows, self);
+	g_array_sort(rows, compare_hosts);
+	*nr = rows->len;
+	return (struct bb_directory_host *)(void *)g_array_free(rows, FALSE);
+}
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -152,6 +152,12 @@
 					     BB_REASON_BACKEND_TRUNCATED },
 		[BB_EXECUTION_TOO_LARGE] = { BB_VERDICT_RAN,
 					     BB_REASON_BACKEND_FAILED },
+		[BB_EXECUTION_REFUSED] = { BB_VERDICT_NOT_RUN,
+					   BB_REASON_BACKEND_REFUSED },
+		[BB_EXECUTION_MISDIRECTED] = { BB_VERDICT_NOT_RUN,
+					       BB_REASON_MISDIRECTED },
+		[BB_EXECUTION_FOREIGN] = { BB_VERDICT_MAY_HAVE_RUN,
+					   BB_REASON_BACKEND_FAILED },
 	};
 
 	m->verdict = ends[r->end].verdict;
@@ -209,9 +215,14 @@
 					   BB_OUTCOME_SILENT;
 	case BB_EXECUTION_BROKEN:
 	case BB_EXECUTION_TRUNCATED:
+	case BB_EXECUTION_FOREIGN:
 		return BB_OUTCOME_TRUNCATED;
 	case BB_EXECUTION_TOO_LARGE:
 		return BB_OUTCOME_OK;
+	case BB_EXECUTION_REFUSED:
+		return BB_OUTCOME_SHED;
+	case BB_EXECUTION_MISDIRECTED:
+		return BB_OUTCOME_CLIENT_ERROR;
 	default:
 		break;
 	}
@@ -297,6 +308,8 @@
 		.timeout_us = job->x.not_after_us - now_us,
 		.max_body = route ? route->max_body_bytes : BB_BODY_MAX,
 		.at_most_once = !job->x.idempotent,
+		.dialect = a->o.dialect,
+		.backend_id = b->name,
 	};
 	struct bb_error err;
 
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "baobabward/dialect.h"
 #include "baobabward/transport.h"
 #include "baobabward/wire.h"
 #include "libnode/control.h"
@@ -38,6 +39,8 @@
  * @reply: sends a RESULT
  * @data: passed to @reply
  * @tracer: takes spans, NULL for none
+ * @dialect: names of headers, NULL for the default
+ * @booking_wait_us: longest wait of a non-idempotent request in the queue
  */
 struct bb_adjacent_options {
 	GMainContext *context;
@@ -47,6 +50,8 @@
 		      const struct bb_message *result);
 	void *data;
 	struct bb_tracer *tracer;
+	const struct bb_dialect *dialect;
+	int64_t booking_wait_us;
 };
 
 struct bb_adjacent *bb_adjacent_new(const struct bb_adjacent_options *o,
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -22,6 +22,7 @@
 	struct bb_queue_options qo = {
 		.slots = row->slots,
 		.max_connections = row->max_connections,
+		.booking_wait_us = a->o.booking_wait_us,
 		.refuse = bb_adjacent_refused,
 		.data = a,
 	};
--- a/src/libnode/admin.c
+++ b/src/libnode/admin.c
@@ -88,7 +88,7 @@
 		return respond_metrics(c);
 	if (!strcmp(url, "/healthz"))
 		return respond(c, 200, "text/plain", "alive");
-	if (!strcmp(url, "/readyz"))
+	if (!strcmp(url, "/readyz") || !strcmp(url, a->o.ready_path))
 		return respond_ready(a, c);
 	MHD_get_connection_values(c, MHD_GET_ARGUMENT_KIND, take_first, &q);
 	text = a->o.document(a->o.data, url, q.key, q.value);
--- a/src/libnode/admin.h
+++ b/src/libnode/admin.h
@@ -13,6 +13,7 @@
  * struct bb_admin_options - what the listener needs.
  * @address: IP number to listen on
  * @port: TCP port
+ * @ready_path: path of the readiness check beside /readyz
  * @ready: whether the node serves; @why is set to a short reason if not
  * @document: JSON of a path such as "/status" that the caller frees with
  *            free(), or NULL for an unknown path; called on any thread.
@@ -22,6 +23,7 @@
 struct bb_admin_options {
 	const char *address;
 	uint16_t port;
+	const char *ready_path;
 	bool (*ready)(void *data, const char **why);
 	char *(*document)(void *data, const char *path, const char *key,
 			  const char *value);
--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -28,20 +28,30 @@
 	return s;
 }
 
-static struct MHD_Response *problem_response(const struct bb_call *c)
+static void add_retry_after(struct MHD_Response *r, uint32_t ms,
+			    const struct bb_dialect *d)
+{
+	char seconds[16];
+
+	if (!ms)
+		return;
+	if (d->fractional_retry_after)
+		g_snprintf(seconds, sizeof(seconds), "%u.%03u", ms / 1000,
+			   ms % 1000);
+	else
+		g_snprintf(seconds, sizeof(seconds), "%u", (ms + 999) / 1000);
+	MHD_add_response_header(r, "Retry-After", seconds);
+}
+
+static struct MHD_Response *problem_response(const struct bb_call *c,
+					     const struct bb_dialect *d)
 {
 	char *body = problem_body(c);
 	struct MHD_Response *r = MHD_create_response_from_buffer(
 		strlen(body), body, MHD_RESPMEM_MUST_FREE);
 
 	MHD_add_response_header(r, "Content-Type", "application/problem+json");
-	if (c->answer.retry_after_ms) {
-		char seconds[16];
-
-		g_snprintf(seconds, sizeof(seconds), "%u",
-			   (c->answer.retry_after_ms + 999) / 1000);
-		MHD_add_response_header(r, "Retry-After", seconds);
-	}
+	add_retry_after(r, c->answer.retry_after_ms, d);
 	if (c->answer.status == 401)
 		MHD_add_response_header(r, "WWW-Authenticate", "Bearer");
 	return r;
@@ -66,15 +76,30 @@
 	return r;
 }
 
+/*
+ * 502 and 504 leave open whether a request ran, so that a caller may not send
+ * it again although it certainly did not run.
+ */
+static void state_not_run(struct bb_answer *a)
+{
+	if (a->reason == BB_REASON_NONE || a->verdict != BB_VERDICT_NOT_RUN)
+		return;
+	if (a->status == 502 || a->status == 504)
+		a->status = 503;
+}
+
 enum MHD_Result bb_answer_queue(struct bb_call *c, bool close,
+				const struct bb_dialect *dialect,
 				struct bb_recent *recent)
 {
-	const struct bb_answer *a = &c->answer;
+	struct bb_answer *a = &c->answer;
 	struct MHD_Response *r;
 	enum MHD_Result rc;
 
+	if (dialect->refuse_503)
+		state_not_run(a);
 	r = a->reason == BB_REASON_NONE ? backend_response(c) :
-					  problem_response(c);
+					  problem_response(c, dialect);
 	MHD_add_response_header(r, "Baobabward-Verdict",
 				bb_verdict_string[a->verdict]);
 	MHD_add_response_header(r, "Baobabward-Request-Id", c->id);
--- a/src/libnode/answer.h
+++ b/src/libnode/answer.h
@@ -5,6 +5,7 @@
 #include <microhttpd.h>
 #include <stdbool.h>
 
+#include "baobabward/dialect.h"
 #include "libnode/call.h"
 #include "libnode/recent.h"
 
@@ -15,6 +16,7 @@
  * @recent: notes refusals and failures, may be NULL
  */
 enum MHD_Result bb_answer_queue(struct bb_call *c, bool close,
+				const struct bb_dialect *dialect,
 				struct bb_recent *recent);
 
 #endif
--- a/src/libnode/call.c
+++ b/src/libnode/call.c
@@ -62,6 +62,11 @@
 	return &c->snapshot->config->accounts[c->account];
 }
 
+const char *bb_call_account_name(const struct bb_call *c)
+{
+	return c->account == BB_NO_ROW ? "" : bb_call_account(c)->name;
+}
+
 void bb_call_refuse(struct bb_call *c, enum bb_verdict verdict,
 		    enum bb_reason reason, uint32_t retry_after_ms)
 {
--- a/src/libnode/call.h
+++ b/src/libnode/call.h
@@ -55,6 +55,7 @@
 /**
  * struct bb_call - a caller's request.
  * @id: text in logs, traces and the response, unique over the fleet
+ * @service: handle of the service that gets it, one of the route's
  * @sequence: number of the call at this node
  * @deadline_us: end of the route's timeout
  * @idempotency_key_hash: hash of account, route and key, when @has_key
@@ -66,6 +67,7 @@
 	struct bb_snapshot *snapshot;
 	uint32_t route;
 	uint32_t account;
+	uint32_t service;
 	char id[BB_REQUEST_ID_SIZE];
 	uint64_t sequence;
 	enum bb_call_state state;
@@ -107,6 +109,11 @@
  */
 const struct bb_account *bb_call_account(const struct bb_call *c);
 
+/**
+ * bb_call_account_name() - its name, empty without a client account.
+ */
+const char *bb_call_account_name(const struct bb_call *c);
+
 /**
  * bb_call_refuse() - set the answer to a refusal or failure.
  * @c: call
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -29,6 +29,8 @@
 #define STATUS_INTERVAL_US (250 * BB_US_PER_MS)
 /* An agreement that was seen by one of the last ticks counts as present. */
 #define AGREED_TICK_US (1 * BB_US_PER_S)
+/* A feed's reads are linearizable, so that its automation switch is agreed. */
+#define BB_FEED_AGREED_US (3600 * BB_US_PER_S)
 #define IDLE_LINK_US (120 * BB_US_PER_S)
 
 /* Callbacks of the decision modules. */
@@ -57,6 +59,18 @@
 	return bb_member_alive(c->member, host, now_us);
 }
 
+/* Hosts that are alive, in thousandths of all. */
+static uint32_t reachable_permille(void *data, int64_t now_us)
+{
+	const struct bb_control *c = data;
+	size_t hosts = bb_control_config(c)->hosts_nr;
+	size_t alive = 0;
+
+	for (uint32_t i = 0; i < hosts; i++)
+		alive += is_alive(data, i, now_us);
+	return hosts ? (uint32_t)(1000 * alive / hosts) : 0;
+}
+
 static bool is_stopping(void *data, uint32_t host, int64_t now_us)
 {
 	const struct bb_control *c = data;
@@ -123,6 +137,8 @@
 {
 	struct bb_control *c = data;
 
+	if (c->o.feed)
+		return BB_FEED_AGREED_US;
 	if (!c->agreed_since_us || now_us - c->agreed_at_us > BB_PERMIT_GAP_US)
 		return -1;
 	return now_us - c->agreed_since_us;
@@ -133,6 +149,8 @@
 	struct bb_control *c = data;
 	int64_t age_us = now_us - c->agreed_at_us;
 
+	if (c->o.feed)
+		return 0;
 	return c->agrees && age_us <= AGREED_TICK_US ? 0 : age_us;
 }
 
@@ -153,6 +171,9 @@
 				   INT64_MIN :
 				   bb_member_current_until_us(c->member);
 
+	if (c->o.settings->serve_stale && c->in_force)
+		until_us = INT64_MAX;
+
 	ck_pr_store_64((uint64_t *)&c->current_until_us, (uint64_t)until_us);
 }
 
@@ -292,6 +313,7 @@
 		.newer_version = bb_control_newer_version,
 		.prepare = prepare_peer,
 		.freshness_us = c->o.settings->freshness_ms * BB_US_PER_MS,
+		.trusted = c->o.feed != NULL,
 		.data = c,
 	};
 
@@ -335,6 +357,8 @@
 		.drift_ppm = BB_LEASE_DRIFT_PPM,
 	};
 
+	if (c->o.feed)
+		ho.reachable = reachable_permille;
 	lo.send = ho.send = go.send = dr.send = bb_control_send;
 	c->lender = bb_lender_new(&lo);
 	c->holder = bb_holder_new(&ho);
@@ -468,7 +492,8 @@
 	if (!c->in_force)
 		return G_SOURCE_CONTINUE;
 	bb_control_update_agreed(c, now_us);
-	bb_lender_tick(c->lender, now_us);
+	if (!c->o.feed)
+		bb_lender_tick(c->lender, now_us);
 	bb_holder_tick(c->holder, now_us);
 	bb_grantor_tick(c->grantor, now_us);
 	bb_drawer_tick(c->drawer, now_us);
@@ -606,6 +631,8 @@
 	bb_lease_map_unref(c->map);
 	bb_post_delete(c->post);
 	bb_endpoint_delete(c->endpoint);
+	if (c->o.feed)
+		c->o.feed->stop(c->o.feed->data);
 	bb_source_delete(c->source);
 	bb_control_delete_queries(c);
 	delete_mailbox(c->observations, free_observation);
--- a/src/libnode/control.h
+++ b/src/libnode/control.h
@@ -14,6 +14,7 @@
 #include "baobabward/error.h"
 #include "baobabward/health.h"
 #include "baobabward/limit.h"
+#include "baobabward/node.h"
 #include "baobabward/settings.h"
 #include "baobabward/wire.h"
 #include "libnode/snapshot.h"
@@ -59,6 +60,7 @@
 /**
  * struct bb_control_options - surroundings of the control thread.
  * @settings: of the daemon
+ * @feed: delivers the configuration, NULL to read it as the settings say
  * @incarnation: of this node
  * @context: main context of the control thread
  * @snapshots: where accepted configurations are put in force
@@ -74,6 +76,7 @@
  */
 struct bb_control_options {
 	const struct bb_settings *settings;
+	const struct bb_feed *feed;
 	uint64_t incarnation;
 	GMainContext *context;
 	struct bb_snapshots *snapshots;
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -35,6 +35,9 @@
 {
 	struct bb_control *c = data;
 
+	/* A feed has pages of its own form, and no signature to trust. */
+	if (!c->source)
+		return;
 	bb_log_info(BB_LOG_CONFIG,
 		    "host %s has version %" G_GUINT64_FORMAT
 		    "; asking it for the pages",
@@ -53,7 +56,7 @@
 	char name[BB_PAGE_NAME_MAX + 1];
 	const struct bb_page *p;
 
-	if (r->name.size > BB_PAGE_NAME_MAX)
+	if (!c->source || r->name.size > BB_PAGE_NAME_MAX)
 		return;
 	memcpy(name, r->name.data, r->name.size);
 	name[r->name.size] = '\0';
@@ -77,7 +80,7 @@
 	char *name;
 	size_t nr;
 
-	if (m->signature.size != BB_PAGE_SIGNATURE_SIZE)
+	if (!c->source || m->signature.size != BB_PAGE_SIGNATURE_SIZE)
 		return;
 	name = g_strndup(m->name.data, m->name.size);
 	p = bb_page_new(name, m->content.data, m->content.size,
@@ -134,6 +137,8 @@
 	/* First, since the permits ask it for the new hosts. */
 	bb_control_configure_host_list(c);
 	c->map = bb_lease_map_new(g);
+	if (c->o.feed)
+		bb_lease_map_set_holders(c->map, 1);
 	bb_lender_set_config(c->lender, g, c->map, now_us);
 	bb_holder_set_config(c->holder, g, c->map, now_us);
 	bb_grantor_set_config(c->grantor, g, c->map, now_us);
@@ -250,7 +255,11 @@
 void bb_control_perform_source(struct bb_control *c)
 {
 	int64_t now_us = bb_clock_now_us();
-	int64_t next_us = bb_source_perform(c->source, now_us);
+	int64_t next_us;
+
+	if (!c->source)
+		return;
+	next_us = bb_source_perform(c->source, now_us);
 
 	note_source(c);
 	bb_loop_remove(&c->source_timer);
@@ -259,11 +268,25 @@
 			c->o.context, next_us - now_us, on_source_timer, c);
 }
 
+static int start_feed(struct bb_control *c, struct bb_error *err)
+{
+	struct bb_feed_target to = {
+		.context = c->o.context,
+		.accept = on_accepted,
+		.node = c,
+	};
+
+	return c->o.feed->start(c->o.feed->data, &to, err);
+}
+
 int bb_control_start_source(struct bb_control *c, struct bb_error *err)
 {
 	const struct bb_settings *s = c->o.settings;
 	struct bb_source_options o;
 
+	if (c->o.feed)
+		return start_feed(c, err);
+
 	bb_source_options_init(&o);
 	o.url = s->config_url;
 	o.path = s->config_file;
--- /dev/null
+++ b/src/libnode/daemon.c
@@ -0,0 +1,47 @@
+#include "libnode/daemon.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+#include "baobabward/log.h"
+
+static GLogLevelFlags parse_level(const char *name)
+{
+	if (!strcmp(name, "error"))
+		return G_LOG_LEVEL_CRITICAL;
+	if (!strcmp(name, "warning"))
+		return G_LOG_LEVEL_WARNING;
+	return !strcmp(name, "debug") ? G_LOG_LEVEL_DEBUG : G_LOG_LEVEL_INFO;
+}
+
+static enum bb_exit exit_code(int rc)
+{
+	if (rc < 0)
+		return BB_EXIT_START;
+	return rc ? BB_EXIT_INTERRUPTED : BB_EXIT_OK;
+}
+
+enum bb_exit bb_daemon_run(const struct bb_settings *settings,
+			   const struct bb_dialect *dialect,
+			   const struct bb_feed *feed)
+{
+	enum bb_exit rc = BB_EXIT_START;
+	struct bb_error err;
+	struct bb_node *n;
+
+	bb_log_init(settings->host, parse_level(settings->log_level));
+	curl_global_init(CURL_GLOBAL_ALL);
+	n = bb_node_new(settings);
+	if (dialect)
+		bb_node_set_dialect(n, dialect);
+	if (feed)
+		bb_node_set_feed(n, feed);
+	if (bb_node_init(n, &err))
+		bb_log(BB_LOG_MAIN, G_LOG_LEVEL_CRITICAL, NULL,
+		       "cannot start: %s", err.message);
+	else
+		rc = exit_code(bb_node_run(n));
+	bb_node_delete(n);
+	curl_global_cleanup();
+	return rc;
+}
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -79,7 +79,7 @@
 static uint32_t call_service(const struct bb_attempts *t)
 {
 	const struct bb_config *own = t->call->snapshot->config;
-	const char *name = own->services[bb_call_route(t->call)->service].name;
+	const char *name = own->services[t->call->service].name;
 
 	return bb_config_find_service(t->entry->snapshot->config, name,
 				      strlen(name));
@@ -115,7 +115,7 @@
 	const struct bb_backend *b =
 		&t->entry->snapshot->config->backends[t->backend];
 	const struct bb_route *r = bb_call_route(c);
-	const struct bb_account *a = bb_call_account(c);
+	const char *account = bb_call_account_name(c);
 	struct bb_message_execute *x = &m->execute;
 
 	memset(m, 0, sizeof(*m));
@@ -126,7 +126,7 @@
 	x->config_version = t->entry->snapshot->config->version;
 	x->idempotent = r->idempotent;
 	x->backend = (struct bb_bytes){ b->name, strlen(b->name) };
-	x->account = (struct bb_bytes){ a->name, strlen(a->name) };
+	x->account = (struct bb_bytes){ account, strlen(account) };
 	x->route = (struct bb_bytes){ r->name, strlen(r->name) };
 	x->method = (struct bb_bytes){ c->method, strlen(c->method) };
 	x->target = (struct bb_bytes){ c->target, strlen(c->target) };
@@ -161,9 +161,22 @@
 		.status = status,
 	};
 
-	return !t->gone && t->nr < BB_RETRY_ATTEMPTS_MAX &&
-	       bb_retry_decide(&t->entry->budget, &a, bb_clock_now_us()) ==
-		       BB_RETRY_YES;
+	uint32_t service = call_service(t);
+	uint32_t most = bb_call_route(t->call)->max_attempts;
+
+	if (t->gone || t->nr >= BB_RETRY_ATTEMPTS_MAX || service == BB_NO_ROW ||
+	    (most && t->reached >= most))
+		return false;
+	return bb_retry_decide(&t->entry->budgets[service], &a,
+			       bb_clock_now_us()) == BB_RETRY_YES;
+}
+
+/* Whether a backend server may have got the request, run or not. */
+static bool may_have_reached(enum bb_verdict verdict, enum bb_reason reason)
+{
+	return verdict != BB_VERDICT_NOT_RUN ||
+	       reason == BB_REASON_BACKEND_REFUSED ||
+	       reason == BB_REASON_MISDIRECTED;
 }
 
 void bb_attempts_ended(struct bb_attempts *t, enum bb_verdict verdict,
@@ -174,6 +187,7 @@
 	if (reason == BB_REASON_CANCELLED && !t->gone)
 		reason = BB_REASON_DEADLINE;
 	note_verdict(t, verdict);
+	t->reached += may_have_reached(verdict, reason);
 	bb_entry_hop_attempt_end(&t->hop, verdict, reason, 0);
 	t->last_reason = reason;
 	if (may_retry(t, verdict, reason, 0))
@@ -233,8 +247,8 @@
 }
 
 /*
- * An idempotent request leaves time for another attempt; a non-idempotent one
- * has a single attempt that may use all of it.
+ * An idempotent request may leave time for another attempt; a non-idempotent
+ * one has a single attempt that may use all of it.
  */
 static int64_t attempt_time_us(const struct bb_attempts *t, int64_t now_us)
 {
@@ -243,7 +257,7 @@
 	if (t->state == ATTEMPT_WAITS_FOR_SESSION)
 		return MIN(left_us, HELLO_WAIT_US);
 	if (bb_call_route(t->call)->idempotent && t->nr < BB_RETRY_ATTEMPTS_MAX)
-		return left_us / 2;
+		return left_us * t->entry->o.attempt_percent / 100;
 	return left_us;
 }
 
@@ -443,6 +457,7 @@
 void bb_entry_submit(struct bb_entry *e, struct bb_call *c)
 {
 	struct bb_attempts *t = g_new0(struct bb_attempts, 1);
+	uint32_t service;
 
 	t->entry = e;
 	t->call = c;
@@ -452,7 +467,9 @@
 	bb_entry_hop_begin(&t->hop, e->o.tracer, c);
 	if (c->connection)
 		watch_hangup(t);
-	bb_retry_budget_first(&e->budget);
+	service = call_service(t);
+	if (service != BB_NO_ROW)
+		bb_retry_budget_first(&e->budgets[service]);
 	bb_attempts_admit(t, false);
 }
 
@@ -505,6 +522,7 @@
 		bb_attempts_ended(t, r->verdict, r->reason);
 		return;
 	}
+	t->reached++;
 	bb_call_answer(t->call, r->status, r->headers, r->headers_nr, &r->body);
 	if (!may_retry(t, r->verdict, r->reason, r->status)) {
 		bb_attempts_finish(t);
@@ -571,7 +589,6 @@
 	g_queue_init(&e->token_waiters);
 	e->calls = g_hash_table_new(NULL, NULL);
 	e->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
-	bb_retry_budget_init(&e->budget, bb_clock_now_us());
 	return e;
 }
 
@@ -614,6 +631,7 @@
 	g_hash_table_destroy(e->attempts);
 	bb_loop_remove(&e->hello_timer);
 	bb_entry_free_balances(e->balances, e->balances_nr);
+	g_free(e->budgets);
 	if (e->leaving)
 		g_hash_table_unref(e->leaving);
 	bb_paths_delete(e->paths);
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -32,6 +32,12 @@
  * @tracer: takes spans, NULL for none
  * @send: hands a message to the transport; false if it was certainly not sent
  * @connected: whether the transport has a connection to a host
+ * @retry_percent: share of first attempts that may be retried
+ * @retry_slack: retries of the whole fleet beyond that in @retry_window_us; 0
+ *               to bound each node alone
+ * @retry_window_us: see bb_retry_limits_of_fleet()
+ * @attempt_percent: share of the time left that an attempt of an idempotent
+ *                   request may use while another may follow
  * @finished: the call has its answer; it is given back
  * @data: passed to these
  */
@@ -44,6 +50,10 @@
 	struct bb_tracer *tracer;
 	bool (*send)(void *data, uint32_t host, const struct bb_message *m);
 	bool (*connected)(void *data, uint32_t host);
+	uint32_t retry_percent;
+	uint32_t retry_slack;
+	int64_t retry_window_us;
+	uint32_t attempt_percent;
 	void (*finished)(void *data, struct bb_call *c);
 	void *data;
 };
--- a/src/libnode/entry_admit.c
+++ b/src/libnode/entry_admit.c
@@ -29,7 +29,7 @@
 					 enum bb_record_action action)
 {
 	const struct bb_call *c = t->call;
-	const char *account = bb_call_account(c)->name;
+	const char *account = bb_call_account_name(c);
 	int64_t left_us = c->deadline_us - bb_clock_now_us();
 	struct bb_record_query *q = g_new0(struct bb_record_query, 1);
 
@@ -111,22 +111,36 @@
 	bb_attempts_set_timer(t, t->call->deadline_us - bb_clock_now_us());
 }
 
+static bool is_limited(const struct bb_call *c)
+{
+	return c->account != BB_NO_ROW && !bb_call_account(c)->unlimited;
+}
+
+static void admitted(struct bb_attempts *t)
+{
+	t->state = ATTEMPT_NONE;
+	if (t->call->has_key)
+		begin_record(t);
+	else
+		bb_attempts_next(t);
+}
+
 void bb_attempts_admit(struct bb_attempts *t, bool waited)
 {
 	struct bb_entry *e = t->entry;
-	const char *account = bb_call_account(t->call)->name;
+	const char *account = bb_call_account_name(t->call);
 	int64_t now_us = bb_clock_now_us();
 	int64_t left_us = t->call->deadline_us - now_us;
 	int64_t retry_us = 0;
 
+	if (!is_limited(t->call)) {
+		admitted(t);
+		return;
+	}
 	switch (bb_control_spend(e->o.control, account, waited, now_us,
 				 &retry_us)) {
 	case BB_SPEND_GRANTED:
-		t->state = ATTEMPT_NONE;
-		if (t->call->has_key)
-			begin_record(t);
-		else
-			bb_attempts_next(t);
+		admitted(t);
 		return;
 	case BB_SPEND_WAIT:
 		t->state = ATTEMPT_WAITS_FOR_TOKEN;
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "baobabward/clock.h"
+
 static uint32_t rebind_backend(uint32_t backend, const struct bb_snapshot *old,
 			       const struct bb_snapshot *new)
 {
@@ -53,6 +55,37 @@
 	return service == BB_NO_ROW ? NULL : e->balances[service];
 }
 
+/* Budgets of services that stay keep what was saved up. */
+static void rebuild_budgets(struct bb_entry *e, const struct bb_snapshot *old)
+{
+	const struct bb_config *c = e->snapshot->config;
+	struct bb_retry_budget *next =
+		g_new0(struct bb_retry_budget, c->services_nr);
+	struct bb_retry_limits limits = bb_retry_limits_default();
+
+	if (e->o.retry_slack)
+		limits = bb_retry_limits_of_fleet(e->o.retry_percent,
+						  e->o.retry_slack,
+						  e->o.retry_window_us,
+						  c->hosts_nr);
+	for (size_t i = 0; i < c->services_nr; i++) {
+		const char *name = c->services[i].name;
+		uint32_t was = BB_NO_ROW;
+
+		if (old)
+			was = bb_config_find_service(old->config, name,
+						     strlen(name));
+		if (was == BB_NO_ROW)
+			bb_retry_budget_init(&next[i], bb_clock_now_us());
+		else
+			next[i] = e->budgets[was];
+		next[i].limits = limits;
+		next[i].tokens = MIN(next[i].tokens, limits.saved_most);
+	}
+	g_free(e->budgets);
+	e->budgets = next;
+}
+
 /* Paths in use stay valid; what was learned of them is carried over. */
 static void rebuild_balances(struct bb_entry *e, const struct bb_snapshot *old)
 {
@@ -111,6 +144,7 @@
 	g_hash_table_iter_init(&i, e->calls);
 	while (old && g_hash_table_iter_next(&i, &t, NULL))
 		rebind_attempt(t, old, e->snapshot);
+	rebuild_budgets(e, old);
 	rebuild_balances(e, old);
 	bb_entry_carry_paths(e, old);
 	/* A backend server may be beside another host than before. */
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -29,6 +29,8 @@
 	enum attempt_state state;
 	uint32_t nr;
 	uint32_t tried[BB_RETRY_ATTEMPTS_MAX];
+	/* Attempts that may have reached a backend server. */
+	uint32_t reached;
 	struct bb_request_id id;
 	uint32_t host;
 	uint32_t backend;
@@ -65,7 +67,8 @@
 	struct bb_paths *paths;
 	GArray *probes_us;
 	int64_t next_probe_us;
-	struct bb_retry_budget budget;
+	/* By service of the snapshot. */
+	struct bb_retry_budget *budgets;
 	uint64_t next_attempt;
 	GQueue token_waiters;
 	GSource *hello_timer;
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -13,7 +13,9 @@
 
 const char *const bb_execution_end_string[] = { "done",	     "not sent",
 						"timeout",   "broken",
-						"truncated", "too large" };
+						"truncated", "too large",
+						"refused",   "misdirected",
+						"foreign" };
 
 static_assert(sizeof(bb_execution_end_string) /
 			      sizeof(*bb_execution_end_string) ==
@@ -22,6 +24,8 @@
 
 /* Idle connections kept over all backend servers of a host. */
 #define MAX_IDLE_CONNECTIONS 256L
+/* Status by which a server says that it is not the one that was meant. */
+#define HTTP_MISDIRECTED 421
 /* Longest time to open a connection. */
 #define CONNECT_TIMEOUT_MS 1000L
 
@@ -49,6 +53,11 @@
 	bool head_complete;
 	bool no_body;
 	bool length_known;
+	bool not_executed;
+	bool foreign;
+	const struct bb_dialect *dialect;
+	/* Value of the dialect's request id header, or NULL. */
+	char *request_id;
 	int64_t started_us;
 	int64_t opened_us; /* when its connection was opened */
 	GByteArray *response_body;
@@ -69,6 +78,7 @@
 	g_free(x->origin);
 	g_free(x->url);
 	g_free(x->body);
+	g_free(x->request_id);
 	g_byte_array_unref(x->response_body);
 	g_string_free(x->response_head, TRUE);
 	g_array_unref(x->response_headers);
@@ -76,19 +86,23 @@
 }
 
 static enum bb_execution_end classify(const struct bb_execution *x,
-				      CURLcode code)
+				      CURLcode code, long status)
 {
 	long request_size = 0;
 
+	if (x->foreign)
+		return BB_EXECUTION_FOREIGN;
+	if (x->head_complete && status == HTTP_MISDIRECTED && x->dialect->backend_id)
+		return BB_EXECUTION_MISDIRECTED;
+	if (x->not_executed)
+		return BB_EXECUTION_REFUSED;
 	if (x->too_large)
 		return BB_EXECUTION_TOO_LARGE;
-	/*
-	 * A body that ends with the connection cannot be told from one that
-	 * was cut off.
-	 */
+	/* A reset is an error of libcurl's, also without a known length. */
 	if (code == CURLE_OK)
-		return x->length_known ? BB_EXECUTION_DONE :
-					 BB_EXECUTION_TRUNCATED;
+		return x->length_known || x->dialect->close_ends_body ?
+			       BB_EXECUTION_DONE :
+			       BB_EXECUTION_TRUNCATED;
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &request_size);
 	if (!request_size && !x->head_complete)
 		return BB_EXECUTION_NOT_SENT;
@@ -97,6 +111,28 @@
 	return x->head_complete ? BB_EXECUTION_TRUNCATED : BB_EXECUTION_BROKEN;
 }
 
+static bool is_request_id(const struct bb_execution *x,
+			  const struct bb_bytes *value)
+{
+	return value->size == strlen(x->request_id) &&
+	       !memcmp(value->data, x->request_id, value->size);
+}
+
+static void note_header(struct bb_execution *x, const struct bb_header *h)
+{
+	const struct bb_dialect *d = x->dialect;
+
+	if (bb_header_is(&h->name, "content-length") ||
+	    bb_header_is(&h->name, "transfer-encoding"))
+		x->length_known = true;
+	if (bb_header_named(&h->name, d->not_executed))
+		x->not_executed = x->head_complete;
+	/* A late answer to an earlier request on the connection. */
+	if (x->request_id && bb_header_named(&h->name, d->request_id) &&
+	    !is_request_id(x, &h->value))
+		x->foreign = true;
+}
+
 static void parse_head(struct bb_execution *x)
 {
 	const char *p = x->response_head->str;
@@ -108,9 +144,7 @@
 		struct bb_header h;
 
 		if (bb_header_parse(p, (size_t)(stop - p), &h)) {
-			if (bb_header_is(&h.name, "content-length") ||
-			    bb_header_is(&h.name, "transfer-encoding"))
-				x->length_known = true;
+			note_header(x, &h);
 			if (!bb_header_is_hop_by_hop(&h.name) &&
 			    x->response_headers->len < BB_HEADERS_MAX)
 				g_array_append_val(x->response_headers, h);
@@ -145,7 +179,7 @@
 	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
 	x->length_known = x->no_body || status == 204 || status == 304;
 	parse_head(x);
-	r.end = classify(x, code);
+	r.end = classify(x, code, status);
 	r.status = x->head_complete ? (unsigned int)status : 0;
 	r.headers = (struct bb_header *)(void *)x->response_headers->data;
 	r.headers_nr = x->response_headers->len;
@@ -357,23 +391,38 @@
 	g_free(line);
 }
 
+static void append_text(struct bb_execution *x, const char *name,
+			const char *value)
+{
+	if (name && value)
+		append_header(x, name, strlen(name), value, strlen(value));
+}
+
+static void note_request_id(struct bb_execution *x, const struct bb_header *h)
+{
+	if (!x->request_id &&
+	    bb_header_named(&h->name, x->dialect->request_id))
+		x->request_id = g_strndup(h->value.data, h->value.size);
+}
+
 static void set_headers(struct bb_execution *x,
 			const struct bb_execution_request *r)
 {
 	char deadline[32];
 
-	for (size_t i = 0; i < r->headers_nr; i++)
+	for (size_t i = 0; i < r->headers_nr; i++) {
 		append_header(x, r->headers[i].name.data,
 			      r->headers[i].name.size, r->headers[i].value.data,
 			      r->headers[i].value.size);
+		note_request_id(x, &r->headers[i]);
+	}
 	if (r->traceparent.size)
 		append_header(x, "traceparent", strlen("traceparent"),
 			      r->traceparent.data, r->traceparent.size);
 	g_snprintf(deadline, sizeof(deadline), "%" G_GINT64_FORMAT,
 		   r->timeout_us / BB_US_PER_MS);
-	append_header(x, "Baobabward-Deadline-Ms",
-		      strlen("Baobabward-Deadline-Ms"), deadline,
-		      strlen(deadline));
+	append_text(x, x->dialect->deadline, deadline);
+	append_text(x, x->dialect->backend_id, r->backend_id);
 	/* Without "Expect:" libcurl re-sends a body on 417. */
 	x->headers = curl_slist_append(x->headers, "Expect:");
 	x->headers = curl_slist_append(x->headers, "Accept-Encoding:");
@@ -439,6 +488,7 @@
 	x->done = done;
 	x->data = data;
 	x->max_body = r->max_body;
+	x->dialect = r->dialect ? r->dialect : &bb_dialect_default;
 	x->started_us = bb_clock_now_us();
 	x->fd = -1;
 	x->origin = g_strdup(r->url);
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "baobabward/dialect.h"
 #include "baobabward/error.h"
 #include "baobabward/wire.h"
 
@@ -30,6 +31,9 @@
  * @BB_EXECUTION_BROKEN: the connection failed before the response head
  * @BB_EXECUTION_TRUNCATED: the response head came, the body did not end
  * @BB_EXECUTION_TOO_LARGE: the response body exceeds the bound
+ * @BB_EXECUTION_REFUSED: the backend server said that it did not run it
+ * @BB_EXECUTION_MISDIRECTED: another backend server has the address
+ * @BB_EXECUTION_FOREIGN: the response belongs to another request
  */
 enum bb_execution_end {
 	BB_EXECUTION_DONE,
@@ -38,6 +42,9 @@
 	BB_EXECUTION_BROKEN,
 	BB_EXECUTION_TRUNCATED,
 	BB_EXECUTION_TOO_LARGE,
+	BB_EXECUTION_REFUSED,
+	BB_EXECUTION_MISDIRECTED,
+	BB_EXECUTION_FOREIGN,
 	BB_EXECUTION_END_COUNT
 };
 
@@ -55,6 +62,8 @@
  * @timeout_us: time for the whole exchange
  * @max_body: bound on the response body in bytes
  * @at_most_once: use a new connection
+ * @dialect: names of headers, NULL for the default
+ * @backend_id: name of the backend server, NULL not to send it
  */
 struct bb_execution_request {
 	const char *url;
@@ -67,6 +76,8 @@
 	int64_t timeout_us;
 	size_t max_body;
 	bool at_most_once;
+	const struct bb_dialect *dialect;
+	const char *backend_id;
 };
 
 /**
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -28,7 +28,8 @@
 
 	bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, retry_after_ms);
 	c->state = BB_CALL_ANSWERED;
-	return bb_answer_queue(c, ck_pr_load_int(&f->draining), f->o.recent);
+	return bb_answer_queue(c, ck_pr_load_int(&f->draining), f->o.dialect,
+			       f->o.recent);
 }
 
 /* libmicrohttpd passes the raw request target to this callback only. */
@@ -82,8 +83,6 @@
 	reason = bb_front_admit(f, c);
 	if (reason)
 		return refuse_admission(f, c, reason);
-	c->deadline_us =
-		c->arrived_us + bb_call_route(c)->timeout_ms * BB_US_PER_MS;
 	return MHD_YES;
 }
 
@@ -171,7 +170,7 @@
 	if (c->state == BB_CALL_ANSWERED) {
 		ck_pr_dec_uint(&f->suspended);
 		return bb_answer_queue(c, ck_pr_load_int(&f->draining),
-				       f->o.recent);
+				       f->o.dialect, f->o.recent);
 	}
 	if (*upload_size)
 		return receive_body(c, upload, upload_size);
@@ -208,6 +207,8 @@
 	struct bb_front *f = g_new0(struct bb_front, 1);
 
 	f->o = *o;
+	if (!f->o.dialect)
+		f->o.dialect = &bb_dialect_default;
 	f->address = g_strdup(o->address);
 	return f;
 }
--- a/src/libnode/front.h
+++ b/src/libnode/front.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "baobabward/dialect.h"
 #include "baobabward/error.h"
 #include "libnode/call.h"
 #include "libnode/recent.h"
@@ -25,6 +26,9 @@
  * @threads: number of threads
  * @connection_limit: most connections of callers
  * @idle_timeout_s: an idle or stalled connection is closed after this time
+ * @dialect: names of headers, NULL for the default
+ * @local_service: service whose backend server is beside this node, NULL for
+ *                 none
  * @incarnation: of this node, part of request identifiers
  * @snapshots: configuration in force
  * @recent: notes refused and failed requests, may be NULL
@@ -38,6 +42,8 @@
 	unsigned int threads;
 	unsigned int connection_limit;
 	unsigned int idle_timeout_s;
+	const struct bb_dialect *dialect;
+	const char *local_service;
 	uint64_t incarnation;
 	struct bb_snapshots *snapshots;
 	struct bb_recent *recent;
--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -4,7 +4,9 @@
 #include <glib.h>
 #include <sodium.h>
 #include <string.h>
+#include <xxhash.h>
 
+#include "baobabward/clock.h"
 #include "baobabward/trace.h"
 #include "libnode/headers.h"
 
@@ -15,11 +17,15 @@
 
 /* Headers of one request while they are looked through. */
 struct header_scan {
+	const struct bb_dialect *dialect;
 	struct bb_call *call;
-	const char *authorization;
+	const char *key;
 	const char *account;
 	const char *idempotency_key;
 	const char *connection;
+	const char *host;
+	const char *deadline;
+	const char *request_id;
 	const char *traceparent;
 	bool content_length;
 	bool transfer_encoding;
@@ -39,10 +45,16 @@
 	s->nr++;
 	if (!value)
 		value = "";
-	if (bb_header_is(&n, "authorization"))
-		single = &s->authorization;
-	else if (bb_header_is(&n, "client-account"))
+	if (bb_header_is(&n, s->dialect->key))
+		single = &s->key;
+	else if (bb_header_named(&n, s->dialect->account))
 		single = &s->account;
+	else if (bb_header_named(&n, s->dialect->deadline))
+		single = &s->deadline;
+	else if (bb_header_named(&n, s->dialect->request_id))
+		single = &s->request_id;
+	else if (bb_header_is(&n, "host"))
+		single = &s->host;
 	else if (bb_header_is(&n, "idempotency-key"))
 		single = &s->idempotency_key;
 	else if (bb_header_is(&n, "connection"))
@@ -80,7 +92,7 @@
 	struct bb_bytes n = { name, strlen(name) };
 
 	(void)kind;
-	if (bb_header_is_withheld(&n))
+	if (bb_header_is_withheld(&n, s->dialect))
 		return MHD_YES;
 	/* It belongs to the trace of a traceparent that is not used. */
 	if (!s->continues_trace && bb_header_is(&n, "tracestate"))
@@ -102,6 +114,13 @@
 	return *authorization ? authorization : NULL;
 }
 
+static const char *caller_key(const struct bb_dialect *d, const char *value)
+{
+	if (!d->bearer)
+		return value && *value ? value : NULL;
+	return bearer_key(value);
+}
+
 static bool contains(const char *data, size_t size, const char *key)
 {
 	return size && memmem(data, size, key, strlen(key));
@@ -154,15 +173,16 @@
 				   const struct header_scan *s)
 {
 	const struct bb_config *config = c->snapshot->config;
-	const char *key = bearer_key(s->authorization);
+	const char *key = caller_key(s->dialect, s->key);
+	enum bb_access access = bb_call_route(c)->access;
 
 	c->account = BB_NO_ROW;
 	if (key)
 		c->account = bb_config_find_key(config, key, strlen(key));
-	else if (s->account && !bb_call_route(c)->open)
+	else if (s->account && access == BB_ACCESS_INTERNAL)
 		c->account = bb_config_find_account(config, s->account,
 						    strlen(s->account));
-	if (c->account == BB_NO_ROW)
+	if (c->account == BB_NO_ROW && access != BB_ACCESS_PUBLIC)
 		return BB_REASON_UNAUTHORIZED;
 	if (key && key_leaks(c, key))
 		return BB_REASON_BAD_REQUEST;
@@ -172,11 +192,24 @@
 	return BB_REASON_NONE;
 }
 
-static enum bb_reason find_route(struct bb_call *c)
+/* Host that a request names, without its port; free with g_free(). */
+static char *host_name(const char *host)
+{
+	const char *end;
+
+	if (!host)
+		return NULL;
+	end = *host == '[' ? strchr(host, ']') : strchr(host, ':');
+	if (end && *end == ']')
+		end++;
+	return end ? g_strndup(host, (gsize)(end - host)) : g_strdup(host);
+}
+
+static enum bb_reason find_route(struct bb_call *c, const struct header_scan *s)
 {
 	bool path_known = false;
 	unsigned int method = bb_method_parse(c->method);
-	char *path;
+	char *path, *host;
 
 	c->route = BB_NO_ROW;
 
@@ -190,8 +223,10 @@
 							route, strlen(route));
 	} else {
 		path = g_strndup(c->target, strcspn(c->target, "?#"));
-		c->route = bb_config_match_route(c->snapshot->config, path,
-						 method, &path_known);
+		host = host_name(s->host);
+		c->route = bb_config_match_route(c->snapshot->config, host,
+						 path, method, &path_known);
+		g_free(host);
 		g_free(path);
 	}
 	if (c->route != BB_NO_ROW)
@@ -203,7 +238,7 @@
 					  const struct header_scan *s)
 {
 	crypto_generichash_state state;
-	const struct bb_account *a = bb_call_account(c);
+	const char *account = bb_call_account_name(c);
 	const struct bb_route *r = bb_call_route(c);
 	size_t n;
 
@@ -219,8 +254,8 @@
 	crypto_generichash_init(&state, NULL, 0,
 				sizeof(c->idempotency_key_hash));
 	/* The NUL separates the parts. */
-	crypto_generichash_update(&state, (const uint8_t *)a->name,
-				  strlen(a->name) + 1);
+	crypto_generichash_update(&state, (const uint8_t *)account,
+				  strlen(account) + 1);
 	crypto_generichash_update(&state, (const uint8_t *)r->name,
 				  strlen(r->name) + 1);
 	crypto_generichash_update(&state, (const uint8_t *)s->idempotency_key,
@@ -252,18 +287,49 @@
 	return BB_REASON_NONE;
 }
 
+/* Part of a split route by weight; the sequence number serves as the draw. */
+static uint32_t choose_service(const struct bb_front *f,
+			       const struct bb_call *c)
+{
+	const struct bb_route *r = bb_call_route(c);
+	double sum = 0, at;
+	uint64_t h;
+
+	if (!r->split_nr)
+		return r->service;
+	for (size_t i = 0; i < r->split_nr; i++)
+		sum += r->split[i].weight;
+	h = XXH3_64bits_withSeed(&c->sequence, sizeof(c->sequence),
+				 f->o.incarnation);
+	at = (double)(h >> 11) / (double)(UINT64_C(1) << 53) * sum;
+	for (size_t i = 0; i < r->split_nr; i++) {
+		at -= r->split[i].weight;
+		if (at < 0)
+			return r->split[i].service;
+	}
+	return r->split[r->split_nr - 1].service;
+}
+
+/* Keys of open routes may have been revoked by a version not read yet. */
+static bool needs_current(const struct bb_front *f, const struct bb_call *c)
+{
+	return bb_call_route(c)->access != BB_ACCESS_INTERNAL &&
+	       !f->o.current(f->o.data);
+}
+
 /* What the call's snapshot says: route, client account, idempotency key. */
 static enum bb_reason apply_config(struct bb_front *f, struct bb_call *c,
 				   const struct header_scan *s)
 {
-	enum bb_reason reason = find_route(c);
+	enum bb_reason reason = find_route(c, s);
 
 	if (reason)
 		return reason;
+	c->service = choose_service(f, c);
 	reason = find_account(c, s);
 	if (reason)
 		return reason;
-	if (bb_call_route(c)->open && !f->o.current(f->o.data))
+	if (needs_current(f, c))
 		return BB_REASON_NOT_CURRENT;
 	return set_idempotency_key(c, s);
 }
@@ -286,15 +352,46 @@
 	return plain;
 }
 
+/* The caller may wait for less than the route's timeout. */
+static void set_deadline(struct bb_call *c, const struct header_scan *s)
+{
+	guint64 wait_ms = bb_call_route(c)->timeout_ms;
+	guint64 caller_ms;
+
+	if (s->deadline &&
+	    g_ascii_string_to_unsigned(s->deadline, 10, 0, G_MAXUINT32,
+				       &caller_ms, NULL))
+		wait_ms = MIN(wait_ms, caller_ms);
+	c->deadline_us = c->arrived_us + (int64_t)wait_ms * BB_US_PER_MS;
+}
+
+static void add_text(struct bb_call *c, const char *name, const char *value)
+{
+	bb_call_add_header(c, name, strlen(name), value, strlen(value));
+}
+
+/* What only the node may say of a request. */
+static void add_own_headers(const struct bb_front *f, struct bb_call *c)
+{
+	const struct bb_dialect *d = f->o.dialect;
+
+	if (d->caller_service && f->o.local_service)
+		add_text(c, d->caller_service, f->o.local_service);
+	if (d->tell_account && c->account != BB_NO_ROW)
+		add_text(c, d->account, bb_call_account(c)->name);
+}
+
 /* Checks that repeat on every request of a connection. */
 static enum bb_reason check_head(struct bb_front *f, struct bb_call *c)
 {
-	struct header_scan s = { .call = c };
+	struct header_scan s = { .call = c, .dialect = f->o.dialect };
 	enum bb_reason reason;
 
 	MHD_get_connection_values(c->connection, MHD_HEADER_KIND, scan_header,
 				  &s);
 	continue_trace(&s);
+	if (s.request_id && *s.request_id)
+		g_strlcpy(c->id, s.request_id, sizeof(c->id));
 	reason = check_framing(&s);
 	if (reason)
 		return reason;
@@ -303,6 +400,8 @@
 	reason = apply_config(f, c, &s);
 	if (reason)
 		return reason;
+	set_deadline(c, &s);
+	add_own_headers(f, c);
 	return check_length(c);
 }
 
@@ -323,30 +422,36 @@
 
 static enum bb_reason check_config_again(struct bb_front *f, struct bb_call *c)
 {
-	struct header_scan s = { .call = c };
+	struct header_scan s = { .call = c, .dialect = f->o.dialect };
 	struct bb_snapshot *now = bb_snapshots_get(f->o.snapshots);
 	enum bb_reason reason;
+	char *account;
 
 	if (now == c->snapshot) {
 		bb_snapshot_put(now);
-		return bb_call_route(c)->open && !f->o.current(f->o.data) ?
-			       BB_REASON_NOT_CURRENT :
-			       BB_REASON_NONE;
+		return needs_current(f, c) ? BB_REASON_NOT_CURRENT :
+					     BB_REASON_NONE;
 	}
+	account = g_strdup(bb_call_account_name(c));
 	bb_snapshot_put(c->snapshot);
 	c->snapshot = now;
 	MHD_get_connection_values(c->connection, MHD_HEADER_KIND, scan_header,
 				  &s);
 	reason = apply_config(f, c, &s);
+	/* The headers name the account that the key had before. */
+	if (!reason && strcmp(account, bb_call_account_name(c)) != 0)
+		reason = BB_REASON_NOT_CURRENT;
+	g_free(account);
 	if (!reason && c->body->len > bb_call_route(c)->max_body_bytes)
 		return BB_REASON_BODY_TOO_LARGE;
 	return reason;
 }
 
-static bool body_has_key(struct bb_call *c)
+static bool body_has_key(const struct bb_dialect *d, struct bb_call *c)
 {
-	const char *key = bearer_key(MHD_lookup_connection_value(
-		c->connection, MHD_HEADER_KIND, "Authorization"));
+	const char *key = caller_key(
+		d, MHD_lookup_connection_value(c->connection, MHD_HEADER_KIND,
+					       d->key));
 
 	return key && contains((const char *)c->body->data, c->body->len, key);
 }
@@ -355,7 +460,7 @@
 {
 	enum bb_reason reason = check_config_again(f, c);
 
-	if (!reason && body_has_key(c))
+	if (!reason && body_has_key(f->o.dialect, c))
 		return BB_REASON_BAD_REQUEST;
 	return reason;
 }
--- a/src/libnode/headers.c
+++ b/src/libnode/headers.c
@@ -9,13 +9,8 @@
 					  "transfer-encoding", "content-length",
 					  "proxy-authenticate" };
 
-static const char *const withheld[] = { "authorization",
-					"proxy-authorization",
-					"client-account",
-					"expect",
-					"host",
-					"traceparent",
-					"baobabward-deadline-ms",
+static const char *const withheld[] = { "authorization", "proxy-authorization",
+					"expect", "traceparent",
 					"accept-encoding" };
 
 bool bb_header_parse(const char *line, size_t size, struct bb_header *h)
@@ -57,10 +52,22 @@
 	return is_one_of(name, hop_by_hop, G_N_ELEMENTS(hop_by_hop));
 }
 
-bool bb_header_is_withheld(const struct bb_bytes *name)
+bool bb_header_named(const struct bb_bytes *name, const char *other)
+{
+	return other && bb_header_is(name, other);
+}
+
+bool bb_header_is_withheld(const struct bb_bytes *name,
+			   const struct bb_dialect *d)
 {
 	return bb_header_is_hop_by_hop(name) ||
-	       is_one_of(name, withheld, G_N_ELEMENTS(withheld));
+	       is_one_of(name, withheld, G_N_ELEMENTS(withheld)) ||
+	       (!d->pass_host && bb_header_is(name, "host")) ||
+	       bb_header_named(name, d->key) ||
+	       bb_header_named(name, d->account) ||
+	       bb_header_named(name, d->deadline) ||
+	       bb_header_named(name, d->caller_service) ||
+	       bb_header_named(name, d->backend_id);
 }
 
 bool bb_header_listed(const char *value, const struct bb_bytes *name)
--- a/src/libnode/headers.h
+++ b/src/libnode/headers.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "baobabward/dialect.h"
 #include "baobabward/wire.h"
 
 /**
@@ -22,6 +23,11 @@
  */
 bool bb_header_is(const struct bb_bytes *name, const char *other);
 
+/**
+ * bb_header_named() - the same for a name that may be NULL.
+ */
+bool bb_header_named(const struct bb_bytes *name, const char *other);
+
 /**
  * bb_header_is_hop_by_hop() - header that belongs to one connection
  * (RFC 9110, section 7.6.1) or that the proxy writes itself.
@@ -32,7 +38,8 @@
  * bb_header_is_withheld() - request header that no backend server may see or
  * that the proxy sets itself: credentials, and headers of the hop.
  */
-bool bb_header_is_withheld(const struct bb_bytes *name);
+bool bb_header_is_withheld(const struct bb_bytes *name,
+			   const struct bb_dialect *d);
 
 /**
  * bb_header_listed() - whether a Connection header's value lists a name.
--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -53,6 +53,8 @@
 
 struct bb_node {
 	const struct bb_settings *settings;
+	const struct bb_dialect *dialect;
+	struct bb_feed feed;
 	uint64_t incarnation;
 	unsigned int state;
 	struct bb_snapshots *snapshots;
@@ -68,7 +70,7 @@
 	GSource *open_timer;
 	int64_t started_us;
 	GSource *drain_timer;
-	GSource *signals[2];
+	GSource *signals[3];
 	int64_t drain_us;
 	bool joining;
 	bool interrupted;
@@ -182,6 +184,16 @@
 	return n;
 }
 
+void bb_node_set_dialect(struct bb_node *n, const struct bb_dialect *d)
+{
+	n->dialect = d;
+}
+
+void bb_node_set_feed(struct bb_node *n, const struct bb_feed *f)
+{
+	n->feed = *f;
+}
+
 static int start_traffic(struct bb_node *n, struct bb_snapshot *s,
 			 struct bb_error *err)
 {
@@ -189,7 +201,8 @@
 	struct bb_traffic_options to = {
 		.incarnation = n->incarnation,
 		.host = o->host,
-		.curve_secret = o->curve_secret,
+		.settings = o,
+		.dialect = n->dialect,
 		.control = n->control,
 		.tracer = n->tracer,
 		.finished = call_finished,
@@ -226,6 +239,8 @@
 		.threads = o->front_threads,
 		.connection_limit = o->connection_limit,
 		.idle_timeout_s = o->idle_timeout_s,
+		.dialect = n->dialect,
+		.local_service = o->local_service,
 		.incarnation = n->incarnation,
 		.snapshots = n->snapshots,
 		.recent = n->recent,
@@ -243,6 +258,7 @@
 	struct bb_admin_options ao = {
 		.address = n->settings->admin_listen,
 		.port = (uint16_t)n->settings->admin_port,
+		.ready_path = n->settings->ready_path,
 		.ready = is_ready,
 		.document = document,
 		.data = n,
@@ -379,6 +395,7 @@
 {
 	struct bb_control_options co = {
 		.settings = n->settings,
+		.feed = n->feed.start ? &n->feed : NULL,
 		.context = n->context,
 		.snapshots = n->snapshots,
 		.configured = on_configured,
@@ -473,10 +490,19 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static void add_signal(struct bb_node *n, int i, int number)
+/* Settings are read at the start only. */
+static gboolean on_hangup(gpointer data)
+{
+	(void)data;
+	bb_log_info(BB_LOG_MAIN,
+		    "SIGHUP: settings take effect at the next start");
+	return G_SOURCE_CONTINUE;
+}
+
+static void add_signal(struct bb_node *n, int i, int number, GSourceFunc fn)
 {
 	n->signals[i] = g_unix_signal_source_new(number);
-	g_source_set_callback(n->signals[i], on_signal, n, NULL);
+	g_source_set_callback(n->signals[i], fn, n, NULL);
 	g_source_attach(n->signals[i], n->context);
 }
 
@@ -503,8 +529,9 @@
 
 int bb_node_run(struct bb_node *n)
 {
-	add_signal(n, 0, SIGTERM);
-	add_signal(n, 1, SIGINT);
+	add_signal(n, 0, SIGTERM, on_signal);
+	add_signal(n, 1, SIGINT, on_signal);
+	add_signal(n, 2, SIGHUP, on_hangup);
 	g_main_loop_run(n->loop);
 	if (n->failed)
 		bb_log(BB_LOG_MAIN, G_LOG_LEVEL_CRITICAL, NULL,
@@ -529,6 +556,7 @@
 	bb_loop_remove(&n->drain_timer);
 	bb_loop_remove(&n->signals[0]);
 	bb_loop_remove(&n->signals[1]);
+	bb_loop_remove(&n->signals[2]);
 	bb_admin_delete(n->admin);
 	/* The front's threads call the others until they have stopped. */
 	bb_front_delete(n->front);
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -26,6 +26,7 @@
 	SETTING_TEXT,
 	SETTING_NAME,
 	SETTING_ADDRESS,
+	SETTING_ENDPOINT,
 	SETTING_NUMBER,
 	SETTING_URL,
 	SETTING_HEX_KEY,
@@ -50,14 +51,37 @@
 static const struct setting table[] = {
 	{ "host", SETTING_NAME, AT(host), NULL, 0, 0, "NAME",
 	  "name of this host in the configuration (required)" },
-	{ "listen", SETTING_ADDRESS, AT(listen), "127.0.0.1", 0, 0, "IP",
-	  "address for callers" },
+	{ "listen", SETTING_ENDPOINT, AT(listen), "127.0.0.1", 0, 0,
+	  "IP[:PORT]", "address for callers; its port goes before --port" },
 	{ "port", SETTING_NUMBER, AT(port), "8080", 0, 65535, "PORT",
 	  "port for callers, 0 lets the system choose" },
-	{ "admin-listen", SETTING_ADDRESS, AT(admin_listen), "127.0.0.1", 0, 0,
-	  "IP", "address of the operator listener" },
+	{ "admin-listen", SETTING_ENDPOINT, AT(admin_listen), "127.0.0.1", 0, 0,
+	  "IP[:PORT]",
+	  "address of the operator listener; its port goes before "
+	  "--admin-port" },
 	{ "admin-port", SETTING_NUMBER, AT(admin_port), "8081", 0, 65535,
 	  "PORT", "port of the operator listener" },
+	{ "ready-path", SETTING_TEXT, AT(ready_path), "/readyz", 0, 0, "PATH",
+	  "path of the readiness check on the operator listener" },
+	{ "local-service", SETTING_NAME, AT(local_service), NULL, 0, 0, "NAME",
+	  "service whose backend server is beside this node" },
+	{ "serve-stale", SETTING_NUMBER, AT(serve_stale), "0", 0, 1, "0|1",
+	  "serve open routes also when the configuration is not known to be "
+	  "current" },
+	{ "retry-percent", SETTING_NUMBER, AT(retry_percent), "10", 0, 100,
+	  "PERCENT", "share of first attempts that may be retried" },
+	{ "retry-slack", SETTING_NUMBER, AT(retry_slack), "0", 0, 1000000, "N",
+	  "retries of the whole fleet beyond that share in a window, 0 to "
+	  "bound each node alone" },
+	{ "retry-window-s", SETTING_NUMBER, AT(retry_window_s), "10", 1, 3600,
+	  "S", "length of the windows of --retry-slack" },
+	{ "attempt-percent", SETTING_NUMBER, AT(attempt_percent), "50", 1, 100,
+	  "PERCENT",
+	  "share of the time left that an attempt of an idempotent request "
+	  "may use while another may follow" },
+	{ "booking-wait-ms", SETTING_NUMBER, AT(booking_wait_ms), "250", 1,
+	  60000, "MS",
+	  "longest wait of a non-idempotent request in a queue" },
 	{ "config-file", SETTING_TEXT, AT(config_file), NULL, 0, 0, "FILE",
 	  "configuration document; read again when it changes" },
 	{ "config-url", SETTING_URL, AT(config_url), NULL, 0, 0, "URL",
@@ -123,6 +147,33 @@
 	       inet_pton(AF_INET6, v, buffer) == 1;
 }
 
+/* IPv4 number with a port; an IPv6 number has more than one colon. */
+static bool split_endpoint(const char *v, char **address, uint32_t *port)
+{
+	const char *colon = strchr(v, ':');
+	guint64 n;
+
+	if (!colon || strchr(colon + 1, ':') ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &n, NULL))
+		return false;
+	*address = g_strndup(v, (gsize)(colon - v));
+	*port = (uint32_t)n;
+	return true;
+}
+
+static bool is_endpoint(const char *v)
+{
+	char *address;
+	uint32_t port;
+	bool ok;
+
+	if (!split_endpoint(v, &address, &port))
+		return is_address(v);
+	ok = is_address(address);
+	g_free(address);
+	return ok;
+}
+
 static bool is_hex_key(const char *v)
 {
 	return strlen(v) == 64 && strspn(v, "0123456789abcdef") == 64;
@@ -156,6 +207,10 @@
 		return is_log_level(v) ?
 			       NULL :
 			       "must be error, warning, info or debug";
+	case SETTING_ENDPOINT:
+		return is_endpoint(v) ? NULL :
+					"must be an IP number, or one with "
+					":port";
 	case SETTING_TEXT:
 	case SETTING_NUMBER:
 	case SETTING_RATIO:
@@ -223,12 +278,18 @@
 	*(char **)(void *)at = g_strdup(value);
 }
 
-static void check_together(const struct bb_settings *s, GString *problems)
+static void check_together(const struct bb_settings *s, bool fed,
+			   GString *problems)
 {
 	const char *rule = NULL;
 
 	if (!s->host)
 		rule = "--host is required";
+	else if (fed)
+		rule = s->config_file || s->config_url ?
+			       "--config-file and --config-url are not used "
+			       "here" :
+			       NULL;
 	else if (!s->config_file == !s->config_url)
 		rule = "exactly one of --config-file and --config-url is "
 		       "required";
@@ -262,7 +323,19 @@
 	return c;
 }
 
-static struct settings_private *collect(char **values, GString *problems)
+/* A port in the address goes before the setting of the port. */
+static void split_port(char **listen, uint32_t *port)
+{
+	char *address;
+
+	if (!*listen || !split_endpoint(*listen, &address, port))
+		return;
+	g_free(*listen);
+	*listen = address;
+}
+
+static struct settings_private *collect(char **values, bool fed,
+					GString *problems)
 {
 	struct settings_private *p = g_new0(struct settings_private, 1);
 
@@ -280,12 +353,14 @@
 				  problems);
 		g_free(name);
 	}
-	check_together(&p->s, problems);
+	split_port(&p->s.listen, &p->s.port);
+	split_port(&p->s.admin_listen, &p->s.admin_port);
+	check_together(&p->s, fed, problems);
 	return p;
 }
 
-struct bb_settings *bb_settings_parse(int *argc, char ***argv, char **help,
-				      struct bb_error *err)
+static struct bb_settings *parse(int *argc, char ***argv, bool fed, char **help,
+				 struct bb_error *err)
 {
 	char *values[SETTINGS_NR] = { 0 };
 	GOptionEntry entries[SETTINGS_NR + 2] = { 0 };
@@ -310,7 +385,7 @@
 		g_string_append_printf(problems, "unexpected argument \"%s\"",
 				       (*argv)[1]);
 	} else {
-		p = collect(values, problems);
+		p = collect(values, fed, problems);
 	}
 	if (problems->len) {
 		bb_error_set(err, BB_ERROR_INVALID, "%s", problems->str);
@@ -324,6 +399,19 @@
 	return p ? &p->s : NULL;
 }
 
+struct bb_settings *bb_settings_parse(int *argc, char ***argv, char **help,
+				      struct bb_error *err)
+{
+	return parse(argc, argv, false, help, err);
+}
+
+struct bb_settings *bb_settings_parse_for_feed(int *argc, char ***argv,
+					       char **help,
+					       struct bb_error *err)
+{
+	return parse(argc, argv, true, help, err);
+}
+
 static json_t *value_json(const struct bb_settings *s, const struct setting *d)
 {
 	const char *at = (const char *)s + d->offset;
--- a/src/libnode/snapshot.c
+++ b/src/libnode/snapshot.c
@@ -56,12 +56,18 @@
 	return s;
 }
 
+static bool is_newer(const struct bb_config *c, const struct bb_config *old)
+{
+	return c->version > old->version ||
+	       (c->version == old->version && c->revision > old->revision);
+}
+
 bool bb_snapshots_swap(struct bb_snapshots *s, struct bb_config *config)
 {
 	struct bb_snapshot *old = s->current;
 	struct bb_snapshot *next;
 
-	if (old && config->version <= old->config->version) {
+	if (old && !is_newer(config, old->config)) {
 		bb_config_delete(config);
 		return false;
 	}
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -305,17 +305,24 @@
 
 static int create_parts(struct bb_traffic *t, struct bb_error *err)
 {
+	const struct bb_settings *s = t->o.settings;
 	struct bb_transport_options to = {
 		.address = t->o.address,
 		.port = t->o.port,
 		.name = t->o.host,
-		.curve_secret_key = t->o.curve_secret,
+		.curve_secret_key = t->o.settings->curve_secret,
 		.metric_in = BB_METRIC_PEER_BYTES_IN,
 		.metric_out = BB_METRIC_PEER_BYTES_OUT,
 	};
 	struct bb_adjacent_options ao = {
-		t->context, t->o.incarnation, t->o.control, send_reply,
-		t,	    t->o.tracer
+		.context = t->context,
+		.incarnation = t->o.incarnation,
+		.control = t->o.control,
+		.reply = send_reply,
+		.data = t,
+		.tracer = t->o.tracer,
+		.dialect = t->o.dialect,
+		.booking_wait_us = s->booking_wait_ms * BB_US_PER_MS,
 	};
 	struct bb_entry_options eo = {
 		.context = t->context,
@@ -324,6 +331,10 @@
 		.tracer = t->o.tracer,
 		.send = send_message,
 		.connected = is_connected,
+		.retry_percent = s->retry_percent,
+		.retry_slack = s->retry_slack,
+		.retry_window_us = s->retry_window_s * BB_US_PER_S,
+		.attempt_percent = s->attempt_percent,
 		.finished = call_finished,
 		.data = t,
 	};
--- a/src/libnode/traffic.h
+++ b/src/libnode/traffic.h
@@ -8,7 +8,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "baobabward/dialect.h"
 #include "baobabward/error.h"
+#include "baobabward/settings.h"
 #include "libnode/call.h"
 #include "libnode/control.h"
 #include "libnode/snapshot.h"
@@ -21,7 +23,8 @@
  * @host: name of this host
  * @address: IP number to bind to
  * @port: TCP port to bind to
- * @curve_secret: CURVE secret key in Z85, or NULL
+ * @settings: of the daemon
+ * @dialect: names of headers, NULL for the default
  * @control: control thread; must outlive the traffic thread
  * @tracer: takes spans, NULL for none
  * @finished: gives a call back; called on the traffic thread
@@ -32,7 +35,8 @@
 	const char *host;
 	const char *address;
 	uint16_t port;
-	const char *curve_secret;
+	const struct bb_settings *settings;
+	const struct bb_dialect *dialect;
 	struct bb_control *control;
 	struct bb_tracer *tracer;
 	void (*finished)(void *data, struct bb_call *c);
--- a/src/libnode/watch.c
+++ b/src/libnode/watch.c
@@ -8,8 +8,6 @@
 #include "baobabward/metrics.h"
 #include "libnode/executor.h"
 
-/* Health endpoint of backend servers. */
-#define PROBE_TARGET "/health"
 #define PROBE_TIMEOUT_US (1 * BB_US_PER_S)
 #define PROBE_BODY_MAX 65536u
 /* Summaries in one answer: route classes of a host's backend servers. */
@@ -142,9 +140,10 @@
 static void send_probe(struct bb_watch *w, uint32_t backend)
 {
 	const struct bb_backend *b = &config(w)->backends[backend];
+	const char *path = config(w)->services[b->service].health_path;
 	struct bb_execution_request r = {
 		.url = b->url,
-		.target = { PROBE_TARGET, strlen(PROBE_TARGET) },
+		.target = { path, strlen(path) },
 		.method = { "GET", strlen("GET") },
 		.timeout_us = PROBE_TIMEOUT_US,
 		.max_body = PROBE_BODY_MAX,
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -16,9 +16,32 @@
  * 100,000 requests a second. */
 #define RESERVE_INTERVAL_US BB_US_PER_S
 
+struct bb_retry_limits bb_retry_limits_default(void)
+{
+	return (struct bb_retry_limits){ FIRST_EARNS, BUDGET_MAX,
+					 RESERVE_INTERVAL_US };
+}
+
+struct bb_retry_limits bb_retry_limits_of_fleet(uint32_t percent,
+						uint32_t slack,
+						int64_t window_us, size_t hosts)
+{
+	int64_t spare = (int64_t)slack - (int64_t)hosts;
+	struct bb_retry_limits l = {
+		.first_earns = (int64_t)percent * RETRY_COST / 100,
+		.saved_most = RETRY_COST,
+		.reserve_interval_us = INT64_MAX,
+	};
+
+	if (spare > 0)
+		l.reserve_interval_us = window_us * (int64_t)hosts * 2 / spare;
+	return l;
+}
+
 void bb_retry_budget_init(struct bb_retry_budget *b, int64_t now_us)
 {
-	b->tokens = BUDGET_MAX;
+	b->limits = bb_retry_limits_default();
+	b->tokens = b->limits.saved_most;
 	b->refilled_us = now_us;
 }
 
@@ -28,8 +51,8 @@
 		int64_t old = (int64_t)ck_pr_load_64((uint64_t *)&b->tokens);
 		int64_t sum = old + tokens;
 
-		if (sum > BUDGET_MAX)
-			sum = BUDGET_MAX;
+		if (sum > b->limits.saved_most)
+			sum = b->limits.saved_most;
 		if (sum == old || ck_pr_cas_64((uint64_t *)&b->tokens,
 					       (uint64_t)old, (uint64_t)sum))
 			return;
@@ -38,19 +61,20 @@
 
 void bb_retry_budget_first(struct bb_retry_budget *b)
 {
-	earn(b, FIRST_EARNS);
+	earn(b, b->limits.first_earns);
 }
 
 static void refill(struct bb_retry_budget *b, int64_t now_us)
 {
 	int64_t last = (int64_t)ck_pr_load_64((uint64_t *)&b->refilled_us);
-	int64_t n = (now_us - last) / RESERVE_INTERVAL_US;
+	int64_t interval_us = b->limits.reserve_interval_us;
+	int64_t n = (now_us - last) / interval_us;
 
 	if (n <= 0 || !ck_pr_cas_64((uint64_t *)&b->refilled_us, (uint64_t)last,
-				    (uint64_t)(last + n * RESERVE_INTERVAL_US)))
+				    (uint64_t)(last + n * interval_us)))
 		return;
-	if (n > BUDGET_MAX / RETRY_COST)
-		n = BUDGET_MAX / RETRY_COST;
+	if (n > b->limits.saved_most / RETRY_COST)
+		n = b->limits.saved_most / RETRY_COST;
 	earn(b, n * RETRY_COST);
 }
 
@@ -95,6 +119,8 @@
 	case BB_REASON_BACKEND_CONNECT:
 	case BB_REASON_BACKEND_FAILED:
 	case BB_REASON_BACKEND_TRUNCATED:
+	case BB_REASON_BACKEND_REFUSED:
+	case BB_REASON_MISDIRECTED:
 	case BB_REASON_PEER_SILENT:
 		return BB_RETRY_PAID;
 	case BB_REASON_QUEUE_FULL:
@@ -128,6 +154,10 @@
 enum bb_retry bb_retry_decide(struct bb_retry_budget *b,
 			      const struct bb_retry_attempt *a, int64_t now_us)
 {
+	int64_t half = b->limits.saved_most / 2;
+	int64_t overload = OVERLOAD_COST < b->limits.saved_most ?
+				   OVERLOAD_COST :
+				   b->limits.saved_most;
 	bool paid = true;
 
 	switch (bb_retry_classify(a, now_us)) {
@@ -139,11 +169,11 @@
 		break;
 	case BB_RETRY_OVERLOAD:
 		refill(b, now_us);
-		paid = take(b, OVERLOAD_COST, BUDGET_MAX / 2);
+		paid = take(b, overload, half);
 		break;
 	case BB_RETRY_ANSWERED:
 		refill(b, now_us);
-		paid = take(b, RETRY_COST, BUDGET_MAX / 2);
+		paid = take(b, RETRY_COST, half);
 		break;
 	default:
 		return BB_RETRY_NO;
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -28,7 +28,7 @@
 	EXPECT_EQ(0u, c->services[1].backends_nr);
 	EXPECT_EQ(BB_BACKEND_LEAVING, c->backends[1].state);
 	EXPECT_EQ(0.5, c->backends[1].weight);
-	EXPECT_TRUE(c->routes[1].open);
+	EXPECT_TRUE(c->routes[1].access == BB_ACCESS_OPEN);
 	EXPECT_EQ((unsigned)(BB_METHOD_POST | BB_METHOD_PUT),
 		  c->routes[1].methods);
 	std::string text = text_of(c.get());
@@ -63,7 +63,7 @@
 	Config c = parse(Document().json());
 	bool known;
 	auto match = [&](const char *path, unsigned method) {
-		return bb_config_match_route(c.get(), path, method, &known);
+		return bb_config_match_route(c.get(), nullptr, path, method, &known);
 	};
 
 	EXPECT_EQ(0u, match("/", BB_METHOD_GET));
@@ -128,7 +128,7 @@
 			    c->routes[k].methods & method)
 				want = k;
 		}
-		ASSERT_EQ(want, bb_config_match_route(c.get(), p.c_str(),
+		ASSERT_EQ(want, bb_config_match_route(c.get(), nullptr, p.c_str(),
 						      method, &known))
 			<< p;
 		ASSERT_EQ(want == BB_NO_ROW && longest, known) << p;
