Redirect at once from backend servers that fail, with a circuit breaker

Ejection needs seconds of evidence.

The adjacent node refuses after the first failure and admits single trials; an entry node redirects free of charge, up to eight attempts, and insists when nothing else is left.

--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -102,6 +102,18 @@
 				   const uint32_t *excluded, size_t excluded_nr,
 				   int64_t now_us);
 
+/**
+ * bb_balance_choose_any() - choose among all backend servers that are in.
+ * @b: balance
+ * @now_us: current time
+ *
+ * For a request that has nowhere else to go: hints of adjacent nodes and what
+ * it tried before are disregarded.
+ *
+ * Return: choice, with BB_NO_ROW when no backend server is left.
+ */
+struct bb_choice bb_balance_choose_any(struct bb_balance *b, int64_t now_us);
+
 /**
  * bb_balance_path() - path to a backend server, without counting a request.
  * @b: balance
--- /dev/null
+++ b/include/baobabward/breaker.h
@@ -0,0 +1,76 @@
+/*
+ * Circuit breaker of one backend server, kept by its adjacent node.
+ *
+ * Load pattern: a backend server that fails most requests for some seconds
+ * answers them at once, so that it looks idle and attracts the requests of all
+ * entry nodes. The first failure therefore opens the breaker for a short time;
+ * then one request at a time is admitted as a trial, and each further failure
+ * doubles the time up to a bound. Ejection works on longer evidence and within
+ * the floor; the breaker only redirects, and a request for which nothing else
+ * is left is admitted in spite of it.
+ *
+ * Pure; times are microseconds of the caller's monotonic clock. One thread.
+ */
+#ifndef BAOBABWARD_BREAKER_H
+#define BAOBABWARD_BREAKER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * struct bb_breaker - state; all zero is closed.
+ * @open_until_us: no request before, when @failures is not 0
+ * @failures: failures in a row, 0 when closed
+ * @trial: a trial is under way
+ * @trial_us: when it began
+ */
+struct bb_breaker {
+	int64_t open_until_us;
+	uint32_t failures;
+	bool trial;
+	int64_t trial_us;
+};
+
+/**
+ * bb_breaker_admit() - whether a request may go to the backend server.
+ * @b: breaker
+ * @idempotent: it can be repeated elsewhere, so that it serves as a trial first
+ * @insist: nothing else is left for it
+ * @now_us: current time
+ *
+ * Return: true if it may; it may be the trial then.
+ */
+bool bb_breaker_admit(struct bb_breaker *b, bool idempotent, bool insist,
+		      int64_t now_us);
+
+/**
+ * bb_breaker_succeeded() - the backend server answered a request.
+ */
+void bb_breaker_succeeded(struct bb_breaker *b);
+
+/**
+ * bb_breaker_failed() - a request failed by the backend server's fault.
+ * @b: breaker
+ * @started_us: when the request was sent
+ * @now_us: current time
+ *
+ * Failures of requests that were sent before the breaker opened count once.
+ */
+void bb_breaker_failed(struct bb_breaker *b, int64_t started_us,
+		       int64_t now_us);
+
+/**
+ * bb_breaker_open_us() - time for which entry nodes should choose others.
+ *
+ * Return: 0 if it is closed or a trial is wanted.
+ */
+int64_t bb_breaker_open_us(const struct bb_breaker *b, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/include/baobabward/health.h
+++ b/include/baobabward/health.h
@@ -145,12 +145,15 @@
  *                if it may not; with @want the permit is asked for and renewed,
  *                without it is given back; bb_permits_until() fits
  * @data: passed to @permit_until
+ * @trial_probes_only: no probes but in the trial state, for backend servers
+ *                     whose health endpoint misleads
  */
 struct bb_health_options {
 	uint32_t host;
 	int64_t (*permit_until)(void *data, const char *service,
 				const char *backend, bool want, int64_t now_us);
 	void *data;
+	bool trial_probes_only;
 };
 
 /**
--- a/include/baobabward/log.h
+++ b/include/baobabward/log.h
@@ -6,6 +6,7 @@
 #define BAOBABWARD_LOG_H
 
 #include <glib.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -46,6 +47,24 @@
 void bb_log(enum bb_log_part part, GLogLevelFlags level, const char *request,
 	    const char *format, ...) __attribute__((format(printf, 4, 5)));
 
+/**
+ * bb_log_event() - write a line about a decision; safe from any thread.
+ * @part: part of the program
+ * @level: GLib level
+ * @request: request identifier, or NULL
+ * @event: name of the decision, without blanks
+ * @format: printf format of its inputs and its outcome as key=value pairs,
+ *          whose values have no blanks; must not contain key material
+ */
+void bb_log_event(enum bb_log_part part, GLogLevelFlags level,
+		  const char *request, const char *event, const char *format,
+		  ...) __attribute__((format(printf, 5, 6)));
+
+/**
+ * bb_log_left_out() - number of lines that were not written so far.
+ */
+uint64_t bb_log_left_out(void);
+
 #define bb_log_info(part, ...) bb_log(part, G_LOG_LEVEL_INFO, NULL, __VA_ARGS__)
 #define bb_log_warning(part, ...) \
 	bb_log(part, G_LOG_LEVEL_WARNING, NULL, __VA_ARGS__)
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -45,6 +45,11 @@
  * @retry_window_s: length of the windows of @retry_slack
  * @attempt_percent: share of the time left that an attempt of an idempotent
  *                   request may use while another may follow
+ * @breaker: redirect requests at once from backend servers that fail
+ * @probes: probe backend servers with few requests
+ * @reserve: spend a part of a client account's rate while the holder of its
+ *           group cannot be reached
+ * @draw_wait_ms: longest wait of a request for a token of the rate limit
  * @booking_wait_ms: longest wait of a non-idempotent request in a queue
  * @config_file: document of the embedded default, or NULL
  * @config_url: base URL of the configuration service, or NULL
@@ -76,6 +81,10 @@
 	uint32_t retry_slack;
 	uint32_t retry_window_s;
 	uint32_t attempt_percent;
+	uint32_t breaker;
+	uint32_t probes;
+	uint32_t reserve;
+	uint32_t draw_wait_ms;
 	uint32_t booking_wait_ms;
 	char *config_file;
 	char *config_url;
--- a/include/baobabward/wire.h
+++ b/include/baobabward/wire.h
@@ -130,13 +130,17 @@
 	int64_t receiver_us;
 };
 
-/* @not_after_us: latest start of execution, in the receiver's clock. */
+/*
+ * @not_after_us: latest start of execution, in the receiver's clock; @insist:
+ * the entry node has no other backend server left, see breaker.h
+ */
 struct bb_message_execute {
 	struct bb_request_id id;
 	uint64_t receiver_incarnation;
 	int64_t not_after_us;
 	uint64_t config_version;
 	bool idempotent;
+	bool insist;
 	struct bb_bytes backend;
 	struct bb_bytes account;
 	struct bb_bytes route;
--- a/src/libcore/log.c
+++ b/src/libcore/log.c
@@ -1,9 +1,14 @@
 #include "baobabward/log.h"
 
 #include <assert.h>
+#include <fcntl.h>
+#include <stdbool.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+#include "baobabward/clock.h"
 
 const char *const bb_log_part_string[] = { "main",    "config",	 "front",
 					   "traffic", "backend", "member",
@@ -36,37 +41,173 @@
 	return "debug";
 }
 
+/*
+ * Lines go to standard output, which must not block the threads that write
+ * them: what does not fit is left out and counted, and so is what exceeds
+ * LINES_PER_S with a burst of LINES_BURST.
+ */
+#define LINES_PER_S 300
+#define LINES_BURST 1200
+/* Longest line in bytes; what is longer is cut. */
+#define LINE_MAX_BYTES 1024
+
+static GMutex write_lock;
+static double line_tokens = LINES_BURST;
+static int64_t tokens_us;
+static uint64_t left_out;
+static uint64_t left_out_told;
+
+/* With the lock held. */
+static bool take_line_token(void)
+{
+	int64_t now_us = bb_clock_now_us();
+
+	line_tokens += (double)(now_us - tokens_us) * LINES_PER_S / BB_US_PER_S;
+	line_tokens = MIN(line_tokens, LINES_BURST);
+	tokens_us = now_us;
+	if (line_tokens < 1)
+		return false;
+	line_tokens -= 1;
+	return true;
+}
+
+/* With the lock held. A line that is cut by a full pipe loses its end. */
+static void write_text(const char *text)
+{
+	size_t size = strlen(text);
+
+	if (write(STDOUT_FILENO, text, size) != (ssize_t)size)
+		left_out++;
+}
+
+/* With the lock held. */
+static void tell_left_out(const char *stamp)
+{
+	char line[LINE_MAX_BYTES];
+
+	if (left_out == left_out_told)
+		return;
+	g_snprintf(line, sizeof(line),
+		   "time=%s node=%s level=warning part=main event=log_left_out "
+		   "lines=%" G_GUINT64_FORMAT "\n",
+		   stamp, node_name, left_out - left_out_told);
+	left_out_told = left_out;
+	write_text(line);
+}
+
+static void append(char *line, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* Leaves room for the end of the line. */
+static void append(char *line, const char *format, ...)
+{
+	size_t used = strlen(line);
+	va_list ap;
+
+	va_start(ap, format);
+	vsnprintf(line + used, LINE_MAX_BYTES - 1 - used, format, ap);
+	va_end(ap);
+}
+
+/* Quotes a message so that it stays one value of one line. */
+static void append_message(char *line, const char *message)
+{
+	char *quoted = g_strescape(message, NULL);
+
+	append(line, " msg=\"%s\"", quoted);
+	g_free(quoted);
+}
+
+static void build_line(char *line, const char *stamp, GLogLevelFlags level,
+		       const GLogField *fields, gsize n)
+{
+	const char *part = find_field(fields, n, "BB_PART");
+	const char *request = find_field(fields, n, "BB_REQUEST");
+	const char *event = find_field(fields, n, "BB_EVENT");
+	const char *message = find_field(fields, n, "MESSAGE");
+
+	line[0] = '\0';
+	append(line, "time=%s node=%s level=%s", stamp, node_name,
+	       level_name(level));
+	if (part)
+		append(line, " part=%s", part);
+	if (event)
+		append(line, " event=%s", event);
+	if (request)
+		append(line, " request=%s", request);
+	if (event)
+		append(line, " %s", message ? message : "");
+	else
+		append_message(line, message ? message : "");
+	g_strlcat(line, "\n", LINE_MAX_BYTES);
+}
+
 static GLogWriterOutput write_line(GLogLevelFlags level,
 				   const GLogField *fields, gsize n,
 				   gpointer data)
 {
-	const char *message = find_field(fields, n, "MESSAGE");
-	const char *request = find_field(fields, n, "BB_REQUEST");
+	char line[LINE_MAX_BYTES];
 	GDateTime *now;
 	char *stamp;
 
 	(void)data;
 	if ((level & G_LOG_LEVEL_MASK) > least_level)
 		return G_LOG_WRITER_HANDLED;
+	g_mutex_lock(&write_lock);
+	if (!take_line_token()) {
+		left_out++;
+		g_mutex_unlock(&write_lock);
+		return G_LOG_WRITER_HANDLED;
+	}
 	now = g_date_time_new_now_utc();
 	stamp = g_date_time_format(now, "%FT%T.%fZ");
-	fprintf(stderr, "%s %s%s%s %s%s%s%s\n", stamp, node_name,
-		*node_name ? " " : "", level_name(level),
-		message ? message : "", request ? " [request " : "",
-		request ? request : "", request ? "]" : "");
+	build_line(line, stamp, level, fields, n);
+	tell_left_out(stamp);
+	write_text(line);
+	g_mutex_unlock(&write_lock);
 	g_free(stamp);
 	g_date_time_unref(now);
 	return G_LOG_WRITER_HANDLED;
 }
 
+uint64_t bb_log_left_out(void)
+{
+	uint64_t n;
+
+	g_mutex_lock(&write_lock);
+	n = left_out;
+	g_mutex_unlock(&write_lock);
+	return n;
+}
+
 void bb_log_init(const char *node, GLogLevelFlags level)
 {
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
 	if (node)
 		g_strlcpy(node_name, node, sizeof(node_name));
 	least_level = level;
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+static void write_fields(enum bb_log_part part, GLogLevelFlags level,
+			 const char *request, const char *event,
+			 const char *message)
+{
+	const GLogField fields[] = {
+		{ "GLIB_DOMAIN", "baobabward", -1 },
+		{ "BB_PART", bb_log_part_string[part], -1 },
+		{ "MESSAGE", message, -1 },
+		{ event ? "BB_EVENT" : "BB_NONE", event ? event : "", -1 },
+		{ request ? "BB_REQUEST" : "BB_NONE", request ? request : "",
+		  -1 },
+	};
+
+	g_log_structured_array(level, fields, G_N_ELEMENTS(fields));
+}
+
 void bb_log(enum bb_log_part part, GLogLevelFlags level, const char *request,
 	    const char *format, ...)
 {
@@ -78,11 +219,20 @@
 	va_start(ap, format);
 	vsnprintf(sentence, sizeof(sentence), format, ap);
 	va_end(ap);
-	if (request)
-		g_log_structured("baobabward", level, "BB_REQUEST", request,
-				 "MESSAGE", "%s: %s", bb_log_part_string[part],
-				 sentence);
-	else
-		g_log_structured("baobabward", level, "MESSAGE", "%s: %s",
-				 bb_log_part_string[part], sentence);
+	write_fields(part, level, request, NULL, sentence);
+}
+
+void bb_log_event(enum bb_log_part part, GLogLevelFlags level,
+		  const char *request, const char *event, const char *format,
+		  ...)
+{
+	char pairs[512];
+	va_list ap;
+
+	if (level > least_level)
+		return;
+	va_start(ap, format);
+	vsnprintf(pairs, sizeof(pairs), format, ap);
+	va_end(ap);
+	write_fields(part, level, request, event, pairs);
 }
--- /dev/null
+++ b/src/libhealth/breaker.c
@@ -0,0 +1,64 @@
+#include "baobabward/breaker.h"
+
+#include "baobabward/clock.h"
+
+/*
+ * Time for which the first failure opens it. One failure may be chance, so that
+ * a sound backend server with 4 requests a second misses about one of them.
+ */
+#define OPEN_LEAST_US (300 * BB_US_PER_MS)
+/* Longest time between two trials; a failing spell lasts some seconds. */
+#define OPEN_MOST_US (2 * BB_US_PER_S)
+/* After this time any request is taken as a trial, not only idempotent ones. */
+#define IDEMPOTENT_ONLY_US (500 * BB_US_PER_MS)
+/* A trial without an outcome no longer keeps others away after this time. */
+#define TRIAL_US (2 * BB_US_PER_S)
+
+static bool trial_runs(const struct bb_breaker *b, int64_t now_us)
+{
+	return b->trial && now_us - b->trial_us < TRIAL_US;
+}
+
+bool bb_breaker_admit(struct bb_breaker *b, bool idempotent, bool insist,
+		      int64_t now_us)
+{
+	if (!b->failures || insist)
+		return true;
+	if (now_us < b->open_until_us || trial_runs(b, now_us))
+		return false;
+	/* The first failure may have been chance. */
+	if (!idempotent && b->failures > 1 &&
+	    now_us < b->open_until_us + IDEMPOTENT_ONLY_US)
+		return false;
+	b->trial = true;
+	b->trial_us = now_us;
+	return true;
+}
+
+void bb_breaker_succeeded(struct bb_breaker *b)
+{
+	b->failures = 0;
+	b->trial = false;
+}
+
+void bb_breaker_failed(struct bb_breaker *b, int64_t started_us, int64_t now_us)
+{
+	int64_t open_us = OPEN_LEAST_US;
+
+	/* Sent before it opened: that failure has been counted. */
+	if (b->failures && !b->trial && started_us < b->open_until_us)
+		return;
+	for (uint32_t i = 0; i < b->failures && open_us < OPEN_MOST_US; i++)
+		open_us *= 2;
+	b->open_until_us =
+		now_us + (open_us < OPEN_MOST_US ? open_us : OPEN_MOST_US);
+	b->failures++;
+	b->trial = false;
+}
+
+int64_t bb_breaker_open_us(const struct bb_breaker *b, int64_t now_us)
+{
+	if (!b->failures || now_us >= b->open_until_us)
+		return 0;
+	return b->open_until_us - now_us;
+}
--- a/src/libhealth/observe.c
+++ b/src/libhealth/observe.c
@@ -192,13 +192,16 @@
 	return nr < BB_EVIDENCE_SIZE;
 }
 
-static bool probe_needed(const struct bb_health_backend *b, int64_t now_us)
+static bool probe_needed(const struct bb_health *h,
+			 const struct bb_health_backend *b, int64_t now_us)
 {
 	int64_t since_us = now_us - b->probe_sent_us;
 
 	if (!b->in ||
 	    (b->probe_sent_us > b->probe_done_us && since_us < PROBE_LOST_US))
 		return false;
+	if (h->options.trial_probes_only && b->state != BB_HEALTH_TRIAL)
+		return false;
 	switch (b->state) {
 	case BB_HEALTH_SUSPECT:
 		if (now_us - b->since_us > SUSPECT_LONG_US)
@@ -222,7 +225,7 @@
 	for (guint i = 0; i < h->backends->len; i++) {
 		struct bb_health_backend *b = h->backends->pdata[i];
 
-		if (!probe_needed(b, now_us))
+		if (!probe_needed(h, b, now_us))
 			continue;
 		b->probe_tokens_us = MAX(b->probe_tokens_us,
 					 now_us - PROBE_BURST * PROBE_TOKEN_US);
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -7,6 +7,7 @@
 #include "baobabward/log.h"
 #include "baobabward/metrics.h"
 #include "libnode/executor.h"
+#include "libnode/headers.h"
 #include "libnode/hop.h"
 #include "libnode/loop.h"
 #include "libnode/seen.h"
@@ -51,7 +52,9 @@
 	struct bb_load load = bb_queue_load(b->queue);
 	int64_t left_us = b->avoid_until_us - bb_clock_now_us();
 
-	load.avoid_for_us = MAX(0, left_us);
+	load.avoid_for_us = MAX(
+		left_us, bb_breaker_open_us(&b->breaker, bb_clock_now_us()));
+	load.avoid_for_us = MAX(0, load.avoid_for_us);
 	if (bb_adjacent_is_leaving(b))
 		load.avoid_for_us = MAX(load.avoid_for_us, LEAVING_HINT_US);
 	return load;
@@ -254,6 +257,74 @@
 	bb_control_observe(job->adjacent->o.control, o);
 }
 
+/* What an outcome says of the backend server, apart from the caller. */
+static void note_breaker(struct bb_job *job, enum bb_outcome_kind kind,
+			 int64_t now_us)
+{
+	struct bb_breaker *b = &job->backend->breaker;
+	uint32_t failures = b->failures;
+
+	switch (kind) {
+	case BB_OUTCOME_OK:
+	case BB_OUTCOME_CLIENT_ERROR:
+		bb_breaker_succeeded(b);
+		break;
+	case BB_OUTCOME_ERROR:
+	case BB_OUTCOME_SHED:
+	case BB_OUTCOME_TIMEOUT:
+	case BB_OUTCOME_CONNECT:
+	case BB_OUTCOME_TRUNCATED:
+		bb_breaker_failed(b, job->started_us, now_us);
+		break;
+	default:
+		break;
+	}
+	if (job->adjacent->o.breaker && !failures != !b->failures)
+		bb_log_event(BB_LOG_HEALTH, G_LOG_LEVEL_INFO, NULL,
+			     b->failures ? "breaker_opened" : "breaker_closed",
+			     "backend=%s failures=%u open_ms=%" G_GINT64_FORMAT,
+			     job->backend->name, MAX(failures, b->failures),
+			     bb_breaker_open_us(b, now_us) / BB_US_PER_MS);
+}
+
+static const struct bb_bytes *caller_request_id(const struct bb_job *job)
+{
+	const struct bb_dialect *d = job->adjacent->o.dialect;
+
+	for (size_t i = 0; d && i < job->x.headers_nr; i++)
+		if (bb_header_named(&job->x.headers[i].name, d->request_id))
+			return &job->x.headers[i].value;
+	return NULL;
+}
+
+/* What a backend server did with a request, by the caller's name for it. */
+static void log_execution(const struct bb_job *job,
+			  const struct bb_execution_result *r)
+{
+	const struct bb_bytes *id = caller_request_id(job);
+	struct bb_load load = bb_queue_load(job->backend->queue);
+	char name[64];
+
+	if (id)
+		g_snprintf(name, sizeof(name), "%.*s", (int)id->size, id->data);
+	else
+		g_snprintf(name, sizeof(name),
+			   "%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
+			   job->x.id.incarnation, job->x.id.sequence);
+	bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name, "executed",
+		     "backend=%s end=%s status=%u queued_ms=%" G_GINT64_FORMAT
+		     " took_ms=%" G_GINT64_FORMAT
+		     " new_connection=%d running=%u waiting=%u slots=%u",
+		     job->backend->name, bb_execution_end_string[r->end],
+		     r->status,
+		     (job->started_us - job->entry.pushed_us) / BB_US_PER_MS,
+		     r->latency_us / BB_US_PER_MS, r->new_connection,
+		     load.in_flight, load.queued, load.slots);
+	if (r->end != BB_EXECUTION_DONE)
+		bb_log(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name, "%s: %s",
+		       job->backend->name, r->detail);
+}
+
 static void on_executed(void *data, const struct bb_execution_result *r)
 {
 	struct bb_job *job = data;
@@ -263,14 +334,10 @@
 	struct bb_reply_to to = job->to;
 	struct bb_request_id id = job->x.id;
 
-	if (r->end != BB_EXECUTION_DONE)
-		bb_log(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL,
-		       "request to %s ended as %s after %" G_GINT64_FORMAT
-		       " us: %s",
-		       b->name, bb_execution_end_string[r->end], r->latency_us,
-		       r->detail);
+	log_execution(job, r);
 	note_connection(job, r->end == BB_EXECUTION_DONE, r->new_connection);
 	note_closed_idle(b, r->closed_idle);
+	note_breaker(job, outcome_kind(r), bb_clock_now_us());
 	observe(job, outcome_kind(r), r->latency_us, r->new_connection,
 		r->opened_us);
 	bb_queue_finish(b->queue, &job->entry, r->end != BB_EXECUTION_NOT_SENT,
@@ -358,7 +425,7 @@
 
 static enum bb_reason check(struct bb_adjacent *a,
 			    const struct bb_message_execute *x,
-			    const struct backend_entry *b, int64_t now_us)
+			    struct backend_entry *b, int64_t now_us)
 {
 	if (a->draining)
 		return BB_REASON_STOPPING;
@@ -372,6 +439,9 @@
 		return BB_REASON_DEADLINE;
 	if (x->not_after_us - now_us > BUDGET_MAX_US)
 		return BB_REASON_BAD_REQUEST;
+	if (a->o.breaker && a->snapshot->config->automation &&
+	    !bb_breaker_admit(&b->breaker, x->idempotent, x->insist, now_us))
+		return BB_REASON_EJECTED;
 	return BB_REASON_NONE;
 }
 
@@ -495,6 +565,7 @@
 		return;
 	}
 	if (waited_long(job, now_us)) {
+		note_breaker(job, BB_OUTCOME_TIMEOUT, now_us);
 		observe(job, BB_OUTCOME_TIMEOUT, now_us - job->started_us,
 			job->entry.connect, 0);
 		note_closed_idle(b, bb_executor_give_up(job->execution));
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -40,6 +40,7 @@
  * @data: passed to @reply
  * @tracer: takes spans, NULL for none
  * @dialect: names of headers, NULL for the default
+ * @breaker: redirect requests from backend servers that have just failed
  * @booking_wait_us: longest wait of a non-idempotent request in the queue
  */
 struct bb_adjacent_options {
@@ -51,6 +52,7 @@
 	void *data;
 	struct bb_tracer *tracer;
 	const struct bb_dialect *dialect;
+	bool breaker;
 	int64_t booking_wait_us;
 };
 
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -5,6 +5,7 @@
 #ifndef BB_NODE_ADJACENT_PRIVATE_H
 #define BB_NODE_ADJACENT_PRIVATE_H
 
+#include "baobabward/breaker.h"
 #include "baobabward/queue.h"
 #include "libnode/adjacent.h"
 
@@ -21,6 +22,7 @@
 	struct bb_queue *queue;
 	GSource *wake;
 	uint32_t idle_connections;
+	struct bb_breaker breaker;
 	bool configured;
 };
 
--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "baobabward/clock.h"
+#include "baobabward/log.h"
 #include "baobabward/metrics.h"
 
 /* Problem types are URNs, so that no server has to answer for them. */
@@ -88,6 +90,33 @@
 		a->status = 503;
 }
 
+static const char *or_dash(const char *s)
+{
+	return s && *s ? s : "-";
+}
+
+/* One line for each answer, with what decided it. */
+static void log_answer(const struct bb_call *c)
+{
+	const struct bb_answer *a = &c->answer;
+	int64_t now_us = bb_clock_now_us();
+
+	bb_log_event(
+		BB_LOG_FRONT, G_LOG_LEVEL_INFO, c->id, "answer",
+		"status=%u verdict=%s reason=%s route=%s account=%s "
+		"config=%" G_GUINT64_FORMAT " attempts=%u backend=%s "
+		"took_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+		" retry_after_ms=%u",
+		a->status, bb_verdict_string[a->verdict],
+		bb_reason_string[a->reason],
+		c->route == BB_NO_ROW ? "-" : bb_call_route(c)->name,
+		or_dash(bb_call_account_name(c)), c->snapshot->config->version,
+		c->attempts_nr, or_dash(c->backend),
+		(now_us - c->arrived_us) / BB_US_PER_MS,
+		c->deadline_us ? (c->deadline_us - now_us) / BB_US_PER_MS : 0,
+		a->retry_after_ms);
+}
+
 enum MHD_Result bb_answer_queue(struct bb_call *c, bool close,
 				const struct bb_dialect *dialect,
 				struct bb_recent *recent)
@@ -109,6 +138,7 @@
 		bb_metrics_refused(a->reason);
 		bb_recent_add(recent, c);
 	}
+	log_answer(c);
 	rc = MHD_queue_response(c->connection, a->status, r);
 	MHD_destroy_response(r);
 	return rc;
--- a/src/libnode/call.c
+++ b/src/libnode/call.c
@@ -106,6 +106,7 @@
 	g_free(c->method);
 	g_free(c->target);
 	g_free(c->traceparent);
+	g_free(c->backend);
 	g_array_unref(c->headers);
 	g_byte_array_unref(c->body);
 	if (c->answer.headers)
--- a/src/libnode/call.h
+++ b/src/libnode/call.h
@@ -60,6 +60,8 @@
  * @deadline_us: end of the route's timeout
  * @idempotency_key_hash: hash of account, route and key, when @has_key
  * @discarded: bytes of the body of a refused request
+ * @attempts_nr: backend servers chosen for it so far
+ * @backend: name of the last of them, or NULL
  * @lookup_only: the caller asks for the outcome of a key
  */
 struct bb_call {
@@ -85,6 +87,8 @@
 	uint64_t fingerprint;
 	struct bb_answer answer;
 	struct bb_attempts *attempts;
+	uint32_t attempts_nr;
+	char *backend;
 };
 
 /**
--- a/src/libnode/daemon.c
+++ b/src/libnode/daemon.c
@@ -1,6 +1,7 @@
 #include "libnode/daemon.h"
 
 #include <curl/curl.h>
+#include <signal.h>
 #include <string.h>
 
 #include "baobabward/log.h"
@@ -29,6 +30,8 @@
 	struct bb_error err;
 	struct bb_node *n;
 
+	/* A closed connection or standard output is no reason to end. */
+	signal(SIGPIPE, SIG_IGN);
 	bb_log_init(settings->host, parse_level(settings->log_level));
 	curl_global_init(CURL_GLOBAL_ALL);
 	n = bb_node_new(settings);
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -26,7 +26,7 @@
 /* A HELLO fails while the connection is being established. */
 #define HELLO_RETRY_US (2 * BB_US_PER_MS)
 /* Time that a HELLO may take before the path counts as failed. */
-#define HELLO_WAIT_US (500 * BB_US_PER_MS)
+#define HELLO_WAIT_US (200 * BB_US_PER_MS)
 /* Retry-After for callers when no backend server can take the request. */
 #define RETRY_AFTER_MS 1000u
 
@@ -101,7 +101,13 @@
 	if (!b)
 		return false;
 	bb_balance_filter_paths(b, t->entry->paths, now_us);
+	t->insist = t->redirects >= REDIRECTS_MAX;
 	choice = bb_balance_choose(b, t->tried, t->nr, now_us);
+	if (choice.backend == BB_NO_ROW) {
+		/* What is left was redirected from, or asks to be avoided. */
+		t->insist = true;
+		choice = bb_balance_choose_any(b, now_us);
+	}
 	if (choice.backend == BB_NO_ROW)
 		return false;
 	t->backend = choice.backend;
@@ -125,6 +131,7 @@
 	x->not_after_us = t->not_after_us;
 	x->config_version = t->entry->snapshot->config->version;
 	x->idempotent = r->idempotent;
+	x->insist = t->insist;
 	x->backend = (struct bb_bytes){ b->name, strlen(b->name) };
 	x->account = (struct bb_bytes){ account, strlen(account) };
 	x->route = (struct bb_bytes){ r->name, strlen(r->name) };
@@ -155,7 +162,7 @@
 		.idempotent = bb_call_route(t->call)->idempotent,
 		.verdict = verdict,
 		.reason = reason,
-		.attempts = t->nr,
+		.attempts = t->nr - t->redirects,
 		.deadline_us = t->call->deadline_us,
 		.least_us = ATTEMPT_LEAST_US,
 		.status = status,
@@ -164,7 +171,7 @@
 	uint32_t service = call_service(t);
 	uint32_t most = bb_call_route(t->call)->max_attempts;
 
-	if (t->gone || t->nr >= BB_RETRY_ATTEMPTS_MAX || service == BB_NO_ROW ||
+	if (t->gone || t->nr >= ATTEMPTS_MAX || service == BB_NO_ROW ||
 	    (most && t->reached >= most))
 		return false;
 	return bb_retry_decide(&t->entry->budgets[service], &a,
@@ -179,6 +186,34 @@
 	       reason == BB_REASON_MISDIRECTED;
 }
 
+static bool is_redirect(enum bb_verdict verdict, enum bb_reason reason)
+{
+	return verdict == BB_VERDICT_NOT_RUN &&
+	       (reason == BB_REASON_EJECTED || reason == BB_REASON_LEAVING ||
+		reason == BB_REASON_STOPPING ||
+		reason == BB_REASON_UNKNOWN_BACKEND);
+}
+
+/* Why an attempt did not give the answer. */
+static void log_attempt(const struct bb_attempts *t, enum bb_verdict verdict,
+			enum bb_reason reason)
+{
+	const struct bb_entry *e = t->entry;
+	const struct bb_config *c = e->snapshot->config;
+
+	bb_log_event(BB_LOG_TRAFFIC, G_LOG_LEVEL_INFO, t->call->id,
+		     "attempt_failed",
+		     "attempt=%u backend=%s host=%s verdict=%s reason=%s "
+		     "sent_ms_ago=%" G_GINT64_FORMAT
+		     " config=%" G_GUINT64_FORMAT "."
+		     "%" G_GUINT64_FORMAT,
+		     t->nr, t->call->backend ? t->call->backend : "-",
+		     t->host == BB_NO_ROW ? "-" : c->hosts[t->host].name,
+		     bb_verdict_string[verdict], bb_reason_string[reason],
+		     (bb_clock_now_us() - t->sent_us) / BB_US_PER_MS,
+		     c->version, c->revision);
+}
+
 void bb_attempts_ended(struct bb_attempts *t, enum bb_verdict verdict,
 		       enum bb_reason reason)
 {
@@ -189,9 +224,12 @@
 	note_verdict(t, verdict);
 	t->reached += may_have_reached(verdict, reason);
 	bb_entry_hop_attempt_end(&t->hop, verdict, reason, 0);
+	log_attempt(t, verdict, reason);
 	t->last_reason = reason;
-	if (may_retry(t, verdict, reason, 0))
+	if (may_retry(t, verdict, reason, 0)) {
+		t->redirects += is_redirect(verdict, reason);
 		bb_attempts_next(t);
+	}
 	else
 		bb_attempts_refuse(t, t->worst_verdict, reason);
 }
@@ -361,8 +399,7 @@
 	case ATTEMPT_NONE:
 		break;
 	case ATTEMPT_WAITS_FOR_TOKEN:
-		bb_attempts_refuse(t, BB_VERDICT_NOT_RUN,
-				   BB_REASON_RATE_LIMITED);
+		bb_attempts_admit_unanswered(t);
 		break;
 	case ATTEMPT_WAITS_FOR_RECORD:
 		bb_attempts_give_up_record(t);
@@ -388,6 +425,7 @@
 void bb_attempts_next(struct bb_attempts *t)
 {
 	struct bb_entry *e = t->entry;
+	const char *name;
 
 	t->state = ATTEMPT_NONE;
 	if (!choose_backend(t)) {
@@ -397,8 +435,11 @@
 		return;
 	}
 	t->tried[t->nr++] = t->backend;
-	bb_entry_hop_attempt(&t->hop, t->call,
-			     e->snapshot->config->backends[t->backend].name);
+	name = e->snapshot->config->backends[t->backend].name;
+	bb_entry_hop_attempt(&t->hop, t->call, name);
+	t->call->attempts_nr = t->nr;
+	g_free(t->call->backend);
+	t->call->backend = g_strdup(name);
 	t->host = e->snapshot->config->backends[t->backend].host;
 	t->local = t->host == e->snapshot->self;
 	t->id.incarnation = e->o.incarnation;
@@ -585,6 +626,7 @@
 	struct bb_entry *e = g_new0(struct bb_entry, 1);
 
 	e->o = *o;
+	e->reserve = bb_reserve_new();
 	e->probes_us = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	g_queue_init(&e->token_waiters);
 	e->calls = g_hash_table_new(NULL, NULL);
@@ -632,6 +674,7 @@
 	bb_loop_remove(&e->hello_timer);
 	bb_entry_free_balances(e->balances, e->balances_nr);
 	g_free(e->budgets);
+	bb_reserve_delete(e->reserve);
 	if (e->leaving)
 		g_hash_table_unref(e->leaving);
 	bb_paths_delete(e->paths);
--- a/src/libnode/entry_admit.c
+++ b/src/libnode/entry_admit.c
@@ -6,6 +6,7 @@
 
 #include "baobabward/clock.h"
 #include "baobabward/idempotency.h"
+#include "baobabward/log.h"
 #include "libnode/headers.h"
 
 /* Time that the store may take to answer after the request has ended. */
@@ -146,7 +147,7 @@
 		t->state = ATTEMPT_WAITS_FOR_TOKEN;
 		g_queue_push_tail(&e->token_waiters, t);
 		if (!waited)
-			bb_attempts_set_timer(t, MIN(left_us, BB_DRAW_WAIT_US));
+			bb_attempts_set_timer(t, MIN(left_us, e->o.draw_wait_us));
 		return;
 	case BB_SPEND_REFUSED:
 		break;
@@ -155,6 +156,28 @@
 	bb_attempts_refuse(t, BB_VERDICT_NOT_RUN, BB_REASON_RATE_LIMITED);
 }
 
+void bb_attempts_admit_unanswered(struct bb_attempts *t)
+{
+	struct bb_entry *e = t->entry;
+	const struct bb_account *a = bb_call_account(t->call);
+	size_t hosts = e->snapshot->config->hosts_nr;
+	bool spent = e->o.use_reserve &&
+		     bb_reserve_spend(e->reserve, a, hosts, bb_clock_now_us());
+
+	bb_log_event(BB_LOG_LEASE, G_LOG_LEVEL_INFO, t->call->id,
+		     "holder_silent", "account=%s waited_ms=%" G_GINT64_FORMAT
+		     " reserve=%s",
+		     a->name, e->o.draw_wait_us / BB_US_PER_MS,
+		     spent ? "spent" : "empty");
+	if (!spent) {
+		bb_attempts_refuse(t, BB_VERDICT_NOT_RUN,
+				   BB_REASON_RATE_LIMITED);
+		return;
+	}
+	bb_attempts_leave_wait(t);
+	admitted(t);
+}
+
 void bb_entry_drawn(struct bb_entry *e)
 {
 	guint nr = g_queue_get_length(&e->token_waiters);
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -7,6 +7,7 @@
 #define BB_NODE_ENTRY_PRIVATE_H
 
 #include "baobabward/balance.h"
+#include "baobabward/reserve.h"
 #include "baobabward/retry.h"
 #include "libnode/entry.h"
 #include "libnode/hop.h"
@@ -23,12 +24,21 @@
 	ATTEMPT_CANCELLING,
 };
 
+/* Most attempts of a call, redirects included. */
+#define ATTEMPTS_MAX 8
+/* Redirects after which a call insists on a backend server. */
+#define REDIRECTS_MAX 4
+
 struct bb_attempts {
 	struct bb_entry *entry;
 	struct bb_call *call;
 	enum attempt_state state;
 	uint32_t nr;
-	uint32_t tried[BB_RETRY_ATTEMPTS_MAX];
+	uint32_t tried[ATTEMPTS_MAX];
+	/* Attempts that were redirected before they loaded a backend server. */
+	uint32_t redirects;
+	/* The present attempt goes to a backend server whose breaker is open. */
+	bool insist;
 	/* Attempts that may have reached a backend server. */
 	uint32_t reached;
 	struct bb_request_id id;
@@ -69,6 +79,7 @@
 	int64_t next_probe_us;
 	/* By service of the snapshot. */
 	struct bb_retry_budget *budgets;
+	struct bb_reserve *reserve;
 	uint64_t next_attempt;
 	GQueue token_waiters;
 	GSource *hello_timer;
@@ -81,6 +92,11 @@
  */
 void bb_attempts_admit(struct bb_attempts *t, bool waited);
 
+/**
+ * bb_attempts_admit_unanswered() - no token came in time; the reserve decides.
+ */
+void bb_attempts_admit_unanswered(struct bb_attempts *t);
+
 /**
  * bb_attempts_leave_wait() - end the waiting for a token or a record.
  */
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -2,11 +2,15 @@
 
 #include <assert.h>
 #include <curl/curl.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/log.h"
 #include "libnode/connections.h"
 #include "libnode/headers.h"
 #include "libnode/loop.h"
@@ -26,6 +30,12 @@
 #define MAX_IDLE_CONNECTIONS 256L
 /* Status by which a server says that it is not the one that was meant. */
 #define HTTP_MISDIRECTED 421
+/*
+ * Time after which a connection whose data, or keepalive probe, is not
+ * acknowledged counts as broken.
+ */
+#define UNACKNOWLEDGED_MS 1500u
+#define KEEPALIVE_S 1L
 /* Longest time to open a connection. */
 #define CONNECT_TIMEOUT_MS 1000L
 
@@ -291,12 +301,17 @@
 			     struct curl_sockaddr *address)
 {
 	struct bb_execution *x = data;
+	unsigned int unacknowledged_ms = UNACKNOWLEDGED_MS;
 	int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
 			address->protocol);
 
 	(void)purpose;
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
+	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+		       sizeof(unacknowledged_ms)))
+		bb_log_warning(BB_LOG_BACKEND, "cannot set TCP_USER_TIMEOUT: %s",
+			       g_strerror(errno));
 	bb_connections_opened(x->executor->connections, fd, x->origin,
 			      bb_clock_now_us());
 	return fd;
@@ -446,6 +461,10 @@
 	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS,
 			 MAX(1L, (long)(r->timeout_us / BB_US_PER_MS)));
 	curl_easy_setopt(c, CURLOPT_TCP_KEEPALIVE, 1L);
+	if (r->long_wait) {
+		curl_easy_setopt(c, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
+		curl_easy_setopt(c, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
+	}
 	curl_easy_setopt(c, CURLOPT_ERRORBUFFER, x->detail);
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, x);
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -64,6 +64,8 @@
  * @at_most_once: use a new connection
  * @dialect: names of headers, NULL for the default
  * @backend_id: name of the backend server, NULL not to send it
+ * @long_wait: the answer may take long; a connection that went silent meanwhile
+ *             is noticed by keepalive probes
  */
 struct bb_execution_request {
 	const char *url;
@@ -78,6 +80,7 @@
 	bool at_most_once;
 	const struct bb_dialect *dialect;
 	const char *backend_id;
+	bool long_wait;
 };
 
 /**
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -79,6 +79,15 @@
 	  "PERCENT",
 	  "share of the time left that an attempt of an idempotent request "
 	  "may use while another may follow" },
+	{ "breaker", SETTING_NUMBER, AT(breaker), "0", 0, 1, "0|1",
+	  "redirect requests at once from backend servers that fail" },
+	{ "probes", SETTING_NUMBER, AT(probes), "1", 0, 1, "0|1",
+	  "probe backend servers that have few requests" },
+	{ "reserve", SETTING_NUMBER, AT(reserve), "0", 0, 1, "0|1",
+	  "spend a part of a client account's rate while the holder of its "
+	  "group cannot be reached" },
+	{ "draw-wait-ms", SETTING_NUMBER, AT(draw_wait_ms), "2000", 1, 60000,
+	  "MS", "longest wait of a request for a token of the rate limit" },
 	{ "booking-wait-ms", SETTING_NUMBER, AT(booking_wait_ms), "250", 1,
 	  60000, "MS",
 	  "longest wait of a non-idempotent request in a queue" },
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -322,6 +322,7 @@
 		.data = t,
 		.tracer = t->o.tracer,
 		.dialect = t->o.dialect,
+		.breaker = s->breaker,
 		.booking_wait_us = s->booking_wait_ms * BB_US_PER_MS,
 	};
 	struct bb_entry_options eo = {
@@ -334,6 +335,8 @@
 		.retry_percent = s->retry_percent,
 		.retry_slack = s->retry_slack,
 		.retry_window_us = s->retry_window_s * BB_US_PER_S,
+		.use_reserve = s->reserve,
+		.draw_wait_us = s->draw_wait_ms * BB_US_PER_MS,
 		.attempt_percent = s->attempt_percent,
 		.finished = call_finished,
 		.data = t,
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -324,6 +324,26 @@
 	return (struct bb_choice){ first->backend, first->path };
 }
 
+struct bb_choice bb_balance_choose_any(struct bb_balance *b, int64_t now_us)
+{
+	struct bb_choice none = { BB_NO_ROW, NULL };
+	struct member *best = NULL;
+	size_t start = b->members_nr ? next_random(b) % b->members_nr : 0;
+
+	for (size_t i = 0; i < b->members_nr; i++) {
+		struct member *m = &b->members[(start + i) % b->members_nr];
+
+		if (m->in && !ck_pr_load_32(&m->path->leaving) &&
+		    !avoided(m, now_us))
+			best = lower(b, best, m, now_us);
+	}
+	if (!best)
+		return none;
+	ck_pr_inc_32(&best->path->refs);
+	ck_pr_inc_32(&best->path->in_flight);
+	return (struct bb_choice){ best->backend, best->path };
+}
+
 static struct member *find_member(struct bb_balance *b,
 				  const struct bb_path *path)
 {
--- a/src/libwire/transport_link.c
+++ b/src/libwire/transport_link.c
@@ -19,6 +19,12 @@
 #define KEEPALIVE_IDLE_S 120
 #define KEEPALIVE_INTERVAL_S 15
 #define KEEPALIVE_COUNT 3
+/*
+ * Time after which a connection whose data is not acknowledged is closed, so
+ * that the next message opens a new one: something between the hosts may have
+ * lost track of it. Several round trips between regions.
+ */
+#define UNACKNOWLEDGED_MS 1500
 /* Pause before a connection attempt; doubles up to the maximum. */
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 500
@@ -43,6 +49,7 @@
 	       set_int(l, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S) ||
 	       set_int(l, ZMQ_TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S) ||
 	       set_int(l, ZMQ_TCP_KEEPALIVE_CNT, KEEPALIVE_COUNT) ||
+	       set_int(l, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MS) ||
 	       set_int(l, ZMQ_HANDSHAKE_IVL, t->o.handshake_ms);
 }
 
--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -165,7 +165,7 @@
 		${fleet_source:-$(fleet_config_flags "$1")} \
 		--lease-term-ms 4000 --freshness-ms 4000 ${fleet_flags:-} \
 		$([ "$1" = 1 ] && echo "${fleet_host1_flags:-}") \
-		2>>"$fleet_dir/host$1.log" &
+		>>"$fleet_dir/host$1.log" 2>&1 &
 	fleet_pid[host$1]=$!
 }
 
--- a/src/test_lib/test_wire.cc
+++ b/src/test_lib/test_wire.cc
@@ -63,6 +63,7 @@
 				      INT64_MAX,
 				      5,
 				      true,
+				      true,
 				      bytes("backend"),
 				      bytes("account"),
 				      bytes("route"),
@@ -205,6 +206,7 @@
 	EXPECT_EQ(UINT64_MAX, e->id.sequence);
 	EXPECT_EQ(INT64_MAX, e->not_after_us);
 	EXPECT_TRUE(e->idempotent);
+	EXPECT_TRUE(e->insist);
 	EXPECT_EQ("account", std::string(e->account.data, e->account.size));
 	ASSERT_EQ(2u, e->headers_nr);
 	EXPECT_EQ("*/*", std::string(e->headers[0].value.data,
