--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -153,6 +153,8 @@
  * bb_balance_filter_paths() - avoid silent paths, down to the floor.
  * @b: balance
  * @paths: paths of this node to the hosts of the snapshot
+ * @keep_floor: avoid no more of them than the floor allows; otherwise only the
+ *              last one stays in use
  * @now_us: current time
  *
  * To be called before a choice, by one thread: what remains is measured anew,
@@ -160,7 +162,7 @@
  * here remain a last resort. Cheap while no path is avoided.
  */
 void bb_balance_filter_paths(struct bb_balance *b, const struct bb_paths *paths,
-			     int64_t now_us);
+			     bool keep_floor, int64_t now_us);
 
 /**
  * bb_balance_set_leaving() - apply the list of leaving hosts.
--- a/src/liblimit/grantor.c
+++ b/src/liblimit/grantor.c
@@ -4,6 +4,7 @@
 
 #include "baobabward/clock.h"
 #include "baobabward/limit.h"
+#include "baobabward/log.h"
 #include "baobabward/metrics.h"
 #include "margin.h"
 
@@ -589,8 +590,17 @@
 		};
 		add_to_lot(b, lot, &fresh);
 	}
-	if (n < MIN((int64_t)draw->wanted, BB_TOKEN))
+	if (n < MIN((int64_t)draw->wanted, BB_TOKEN)) {
 		grant->retry_ms = retry_ms(g, b, draw->wanted - n, now_us);
+		bb_log_event(BB_LOG_LEASE, G_LOG_LEVEL_INFO, NULL,
+			     "account_empty",
+			     "account=%s level_ms=%" G_GINT64_FORMAT
+			     " drawn_ms=%" G_GINT64_FORMAT
+			     " room_ms=%" G_GINT64_FORMAT " rate=%" G_GINT64_FORMAT
+			     " retry_ms=%u",
+			     b->name, b->level / 1000, out / 1000, cap / 1000,
+			     b->rate / BB_TOKEN, grant->retry_ms);
+	}
 out:
 	lot = find_lot(b, s->number);
 	if (lot && !lot->amount)
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -100,7 +100,8 @@
 
 	if (!b)
 		return false;
-	bb_balance_filter_paths(b, t->entry->paths, now_us);
+	bb_balance_filter_paths(b, t->entry->paths,
+				t->entry->o.keep_path_floor, now_us);
 	t->insist = t->redirects >= REDIRECTS_MAX;
 	choice = bb_balance_choose(b, t->tried, t->nr, now_us);
 	if (choice.backend == BB_NO_ROW) {
@@ -191,7 +192,9 @@
 	return verdict == BB_VERDICT_NOT_RUN &&
 	       (reason == BB_REASON_EJECTED || reason == BB_REASON_LEAVING ||
 		reason == BB_REASON_STOPPING ||
-		reason == BB_REASON_UNKNOWN_BACKEND);
+		reason == BB_REASON_UNKNOWN_BACKEND ||
+		reason == BB_REASON_PEER_SILENT ||
+		reason == BB_REASON_BACKEND_CONNECT);
 }
 
 /* Why an attempt did not give the answer. */
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -36,6 +36,7 @@
  * @retry_slack: retries of the whole fleet beyond that in @retry_window_us; 0
  *               to bound each node alone
  * @retry_window_us: see bb_retry_limits_of_fleet()
+ * @keep_path_floor: see bb_balance_filter_paths()
  * @use_reserve: a call that waited in vain may use the account's reserve
  * @draw_wait_us: longest wait for a token of the rate limit
  * @attempt_percent: share of the time left that an attempt of an idempotent
@@ -55,6 +56,7 @@
 	uint32_t retry_percent;
 	uint32_t retry_slack;
 	int64_t retry_window_us;
+	bool keep_path_floor;
 	bool use_reserve;
 	int64_t draw_wait_us;
 	uint32_t attempt_percent;
--- a/src/libnode/entry_paths.c
+++ b/src/libnode/entry_paths.c
@@ -8,6 +8,11 @@
 
 /* Time for which the paths to a node that stops are avoided. */
 #define AVOID_STOPPING_US (2 * BB_US_PER_S)
+/* Time without a sign of life after which a host with a request is asked. */
+#define CHECK_AFTER_US (250 * BB_US_PER_MS)
+/* Time after which that HELLO counts as unanswered: some round trips, and the
+ * turn of a busy node. */
+#define HELLO_SILENT_US (200 * BB_US_PER_MS)
 /* Time after which a HELLO to a silent node counts as unanswered. */
 #define PROBE_WAIT_US (1 * BB_US_PER_S)
 
@@ -35,9 +40,42 @@
 	if (host >= e->probes_us->len)
 		return;
 	*probe_us(e, host) = 0;
+	bb_sessions_find(e->o.sessions, e->snapshot->config->hosts[host].name)
+		->heard_us = now_us;
 	bb_paths_answer(e->paths, host, hello, now_us);
 }
 
+/*
+ * Asks the hosts that have had a request for some time without a sign of life
+ * since. A path that is cut would show only at the deadline, and meanwhile get
+ * more requests.
+ */
+static void check_outstanding(struct bb_entry *e, int64_t now_us)
+{
+	const struct bb_config *c = e->snapshot->config;
+	GHashTableIter i;
+	gpointer key;
+
+	g_hash_table_iter_init(&i, e->calls);
+	while (g_hash_table_iter_next(&i, &key, NULL)) {
+		const struct bb_attempts *t = key;
+		struct bb_session *s;
+
+		if (t->state != ATTEMPT_SENT || t->local ||
+		    t->host == BB_NO_ROW || now_us - t->sent_us < CHECK_AFTER_US)
+			continue;
+		s = bb_sessions_find(e->o.sessions, c->hosts[t->host].name);
+		if (s->hello_us && now_us - s->hello_us >= HELLO_SILENT_US) {
+			bb_entry_path_silent(e, t->host, s->hello_us, now_us);
+			s->hello_us = 0;
+		} else if (!s->hello_us &&
+			   now_us - MAX(s->heard_us, t->sent_us) >=
+				   CHECK_AFTER_US) {
+			bb_entry_greet(e, t->host, s, now_us);
+		}
+	}
+}
+
 void bb_entry_tick(struct bb_entry *e, int64_t now_us)
 {
 	const struct bb_config *c = e->snapshot->config;
@@ -45,6 +83,7 @@
 	uint32_t due;
 
 	bb_attempts_retry_lost(e, now_us);
+	check_outstanding(e, now_us);
 	if (now_us < e->next_probe_us)
 		return;
 	due = bb_paths_hello_due(e->paths, now_us);
--- a/src/libnode/session.h
+++ b/src/libnode/session.h
@@ -18,6 +18,7 @@
  * @receiver_us: its clock when it sent WELCOME
  * @welcome_us: own clock when WELCOME arrived, so that the node's clock was
  *              at least @receiver_us then
+ * @heard_us: when the last WELCOME or RESULT came, 0 for never
  * @hello_us: own clock when the last HELLO was sent, 0 when it was answered
  * @nonce: of the last HELLO
  */
@@ -28,6 +29,7 @@
 	int64_t receiver_us;
 	int64_t welcome_us;
 	int64_t hello_us;
+	int64_t heard_us;
 	int64_t used_us;
 	uint64_t nonce;
 };
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -83,6 +83,8 @@
 	  "redirect requests at once from backend servers that fail" },
 	{ "probes", SETTING_NUMBER, AT(probes), "1", 0, 1, "0|1",
 	  "probe backend servers that have few requests" },
+	{ "path-floor", SETTING_NUMBER, AT(path_floor), "1", 0, 1, "0|1",
+	  "avoid no more silent paths than the floor of a service allows" },
 	{ "reserve", SETTING_NUMBER, AT(reserve), "0", 0, 1, "0|1",
 	  "spend a part of a client account's rate while the holder of its "
 	  "group cannot be reached" },
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -400,7 +400,7 @@
 }
 
 void bb_balance_filter_paths(struct bb_balance *b, const struct bb_paths *paths,
-			     int64_t now_us)
+			     bool keep_floor, int64_t now_us)
 {
 	bool any = bb_paths_any_avoided(paths, now_us);
 	struct bb_path_candidate *c;
@@ -418,8 +418,8 @@
 		c[i].weight = m->weight;
 		c[i].lost = !eligible(m, NULL, 0, false, now_us);
 	}
-	bb_paths_filter(paths, c, b->members_nr, b->floor_percent, avoid,
-			now_us);
+	bb_paths_filter(paths, c, b->members_nr,
+			keep_floor ? b->floor_percent : 0, avoid, now_us);
 	for (size_t i = 0; i < b->members_nr; i++)
 		ck_pr_store_32(&b->members[i].path->silent, avoid[i]);
 	b->filtered = any;
--- a/src/test_lib/test_entry_paths.cc
+++ b/src/test_lib/test_entry_paths.cc
@@ -106,7 +106,7 @@
 	{
 		std::set<std::string> names;
 
-		bb_balance_filter_paths(balance(), e->paths, now);
+		bb_balance_filter_paths(balance(), e->paths, true, now);
 		for (int i = 0; i < 400; i++) {
 			auto c = bb_balance_choose(balance(), NULL, 0, now);
 
