--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -193,8 +193,7 @@
 	       (reason == BB_REASON_EJECTED || reason == BB_REASON_LEAVING ||
 		reason == BB_REASON_STOPPING ||
 		reason == BB_REASON_UNKNOWN_BACKEND ||
-		reason == BB_REASON_PEER_SILENT ||
-		reason == BB_REASON_BACKEND_CONNECT);
+		reason == BB_REASON_PEER_SILENT);
 }
 
 /* Why an attempt did not give the answer. */
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -145,8 +145,7 @@
 					  reason_class(a->reason);
 	/* Nothing was sent to a backend server, so none was loaded. */
 	if (a->verdict == BB_VERDICT_NOT_RUN &&
-	    (a->reason == BB_REASON_PEER_SILENT ||
-	     a->reason == BB_REASON_BACKEND_CONNECT))
+	    a->reason == BB_REASON_PEER_SILENT)
 		return BB_RETRY_REDIRECT;
 	/* A lost refusal may hide work that was done, so it is not free. */
 	if (c == BB_RETRY_REDIRECT && a->verdict != BB_VERDICT_NOT_RUN)
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -212,7 +212,8 @@
 		{ "\"state\":\"leaving\"", "\"state\":\"gone\"",
 		  "column state: \"gone\" is not in, leaving or out" },
 		{ "\"access\":\"open\"", "\"access\":\"all\"",
-		  "column access: \"all\" is not open or internal" },
+		  "column access: \"all\" is not internal, open or "
+		  "public" },
 		{ "[\"POST\",\"PUT\"]", "[\"POST\",\"TRACE\"]",
 		  "column methods: \"TRACE\" is not a supported method" },
 		{ "[\"POST\",\"PUT\"]", "[\"POST\",\"GET\"]",
@@ -220,7 +221,7 @@
 		  "prefix and method as route \"book\"" },
 		{ "\"/book/profile\"", "\"/book/../profile\"",
 		  "routes row 3 (name \"profile\"), column path_prefix" },
-		{ "\"/book/profile\"", "\"/book/\"", "column path_prefix" },
+		{ "\"/book/profile\"", "\"/book//\"", "column path_prefix" },
 		{ "\"burst\":20", "\"burst\":0.5",
 		  "accounts row 1 (name \"account-1\"), column burst: 0.5 is "
 		  "not between 1 and 1000000000" },
--- a/src/test_lib/test_retry.cc
+++ b/src/test_lib/test_retry.cc
@@ -24,14 +24,17 @@
 	bool failure =
 		one_of(a.reason,
 		       { BB_REASON_BACKEND_CONNECT, BB_REASON_BACKEND_FAILED,
-			 BB_REASON_BACKEND_TRUNCATED, BB_REASON_PEER_SILENT });
+			 BB_REASON_BACKEND_TRUNCATED, BB_REASON_BACKEND_REFUSED,
+			 BB_REASON_MISDIRECTED, BB_REASON_PEER_SILENT });
+	/* Never sent to a backend server, as an unanswered HELLO is not. */
+	bool unsent = a.reason == BB_REASON_PEER_SILENT;
 	bool full = a.reason == BB_REASON_QUEUE_FULL;
 	bool answered = a.reason == BB_REASON_NONE;
 	bool error = answered && one_of((int)a.status, { 500, 502, 504 });
 	bool in_time = now + a.least_us < a.deadline_us;
 
 	if (safe && in_time && a.attempts < 3) {
-		if (redirect && a.verdict == BB_VERDICT_NOT_RUN)
+		if ((redirect || unsent) && a.verdict == BB_VERDICT_NOT_RUN)
 			return BB_RETRY_REDIRECT;
 		if (redirect || failure)
 			return BB_RETRY_PAID;
@@ -110,6 +113,35 @@
 	EXPECT_EQ(BB_RETRY_OVER_BUDGET, bb_retry_decide(&b, &a, 1000000));
 }
 
+// Guards against a fleet whose nodes together retry more than the platform
+// allows in a window: each may save one retry, and the reserve counts once.
+TEST(Retry, FleetStaysWithinItsSlack)
+{
+	const int64_t window = 10000000;
+
+	for (size_t hosts : { 1, 22, 29, 50 }) {
+		const uint32_t slack = 56;
+		auto limits =
+			bb_retry_limits_of_fleet(10, slack, window, hosts);
+		auto a = attempt(BB_REASON_BACKEND_CONNECT);
+		size_t retries = 0;
+
+		a.deadline_us = INT64_MAX;
+		for (size_t h = 0; h < hosts; h++) {
+			struct bb_retry_budget b;
+
+			bb_retry_budget_init(&b, 0);
+			b.limits = limits;
+			b.tokens = limits.saved_most;
+			for (int64_t now = 0; now < window; now += 10000)
+				retries += bb_retry_decide(&b, &a, now) ==
+					   BB_RETRY_YES;
+		}
+		EXPECT_LE(retries, slack) << hosts << " hosts";
+		EXPECT_GE(retries, hosts);
+	}
+}
+
 // Guards against retries after full queues using up what failures need, and
 // against redirects being refused because of them.
 TEST(Retry, FullQueuesUseHalfOfTheBudget)
