--- /dev/null
+++ b/src/test_lib/test_breaker.cc
@@ -0,0 +1,275 @@
+// The circuit breaker, alone and as entry nodes see it through the balancer.
+#include <gtest/gtest.h>
+#include <glib.h>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "baobabward/balance.h"
+#include "baobabward/breaker.h"
+#include "baobabward/clock.h"
+#include "config_fixture.h"
+
+namespace
+{
+const int64_t kMs = BB_US_PER_MS;
+}
+
+// Guards against a backend server that is tried by many requests at once after
+// each pause, or that is never tried again.
+TEST(Breaker, OneTrialAtATime)
+{
+	struct bb_breaker b = {};
+
+	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 0));
+	bb_breaker_failed(&b, 0, 0);
+	EXPECT_EQ(300 * kMs, bb_breaker_open_us(&b, 0));
+	EXPECT_FALSE(bb_breaker_admit(&b, true, false, 299 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 300 * kMs));
+	EXPECT_FALSE(bb_breaker_admit(&b, true, false, 301 * kMs));
+	bb_breaker_failed(&b, 300 * kMs, 310 * kMs);
+	EXPECT_EQ(600 * kMs, bb_breaker_open_us(&b, 310 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 910 * kMs));
+	bb_breaker_succeeded(&b);
+	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 911 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 911 * kMs));
+}
+
+// Guards against bookings that serve as trials although a lookup, which can be
+// repeated, would soon come, and against waiting for a lookup for ever.
+TEST(Breaker, IdempotentRequestsAreTrialsFirst)
+{
+	struct bb_breaker b = {};
+
+	bb_breaker_failed(&b, 0, 0);
+	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 300 * kMs));
+	bb_breaker_failed(&b, 300 * kMs, 300 * kMs);
+	EXPECT_FALSE(bb_breaker_admit(&b, false, false, 900 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 1400 * kMs));
+}
+
+// Guards against failures of requests that were under way when it opened
+// keeping a sound backend server out for seconds, against unbounded pauses,
+// and against a trial that never ends.
+TEST(Breaker, PausesAreBounded)
+{
+	struct bb_breaker b = {};
+	int64_t now = 1000 * kMs;
+
+	for (int i = 0; i < 5; i++)
+		bb_breaker_failed(&b, now - 500 * kMs, now);
+	EXPECT_EQ(300 * kMs, bb_breaker_open_us(&b, now));
+	for (int i = 0; i < 20; i++) {
+		now += bb_breaker_open_us(&b, now) + 600 * kMs;
+		EXPECT_TRUE(bb_breaker_admit(&b, false, false, now));
+		bb_breaker_failed(&b, now, now);
+		EXPECT_LE(bb_breaker_open_us(&b, now), 2000 * kMs);
+	}
+	now += 3000 * kMs;
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, now));
+	EXPECT_FALSE(bb_breaker_admit(&b, true, false, now + 1999 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, now + 2000 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, false, true, now));
+}
+
+namespace
+{
+
+// One service of several backend servers, each on a host of its own.
+std::string pool_document(int servers)
+{
+	Document d;
+
+	d.hosts = d.backends = "";
+	for (int i = 0; i < servers; i++) {
+		std::string n = std::to_string(i), comma = i ? "," : "";
+
+		d.hosts += comma + "{\"name\":\"h" + n +
+			   "\",\"region\":\"r\",\"zone\":\"z\",\"address\":"
+			   "\"127.0.0." +
+			   std::to_string(i + 1) +
+			   "\",\"data_port\":7001,\"control_port\":7002}";
+		d.backends += comma + "{\"name\":\"b" + n + "\",\"host\":\"h" +
+			      n +
+			      "\",\"service\":\"orders\",\"url\":\"http://"
+			      "127.0.0.1:8001\",\"weight\":1,\"slots\":5,"
+			      "\"max_connections\":330,\"state\":\"in\"}";
+	}
+	return d.json();
+}
+
+/*
+ * Load pattern: 60 requests a second over 14 entry nodes and 14 backend servers
+ * with a service time of 400 ms; at any time some of them fail 85% of their
+ * requests within 1 ms, for 2 to 8 s each, so that they look idle.
+ */
+struct FailingSpells {
+	static const int kServers = 14;
+	static const int kEntries = 14;
+	Config config = parse(pool_document(kServers));
+	GRand *random = g_rand_new_with_seed(7);
+	std::vector<struct bb_balance *> entries;
+	std::vector<int64_t> spell_ends = std::vector<int64_t>(kServers);
+	std::vector<int64_t> spell_begins = std::vector<int64_t>(kServers);
+	std::vector<int> running = std::vector<int>(kServers);
+	std::vector<struct bb_breaker> breakers =
+		std::vector<struct bb_breaker>(kServers);
+	bool use_breakers;
+	int requests = 0, errors = 0, refused = 0;
+
+	explicit FailingSpells(bool use) : use_breakers(use)
+	{
+		for (int i = 0; i < kEntries; i++) {
+			struct bb_balance_options o = {};
+
+			o.config = config.get();
+			o.service = 0;
+			o.zone_penalty = -1;
+			o.seed = 100 + (uint64_t)i;
+			entries.push_back(bb_balance_new(&o));
+		}
+	}
+	~FailingSpells()
+	{
+		for (auto *b : entries)
+			bb_balance_delete(b);
+		g_rand_free(random);
+	}
+	int64_t between_ms(int least, int most)
+	{
+		return g_rand_int_range(random, least, most) * kMs;
+	}
+	bool fails(int server, int64_t now)
+	{
+		if (now >= spell_ends[server]) {
+			spell_begins[server] = now + between_ms(4000, 14000);
+			spell_ends[server] =
+				spell_begins[server] + between_ms(2000, 8000);
+		}
+		return now >= spell_begins[server] &&
+		       g_rand_double(random) < 0.85;
+	}
+	struct bb_load load_of(int server, int64_t now)
+	{
+		struct bb_load load = {};
+
+		load.in_flight = (uint32_t)running[server];
+		load.slots = 5;
+		if (use_breakers)
+			load.avoid_for_us =
+				bb_breaker_open_us(&breakers[server], now);
+		return load;
+	}
+	// Chooses as an entry node does, redirects included.
+	int place(struct bb_balance *b, bool lookup, int64_t now,
+		  struct bb_path **path)
+	{
+		std::vector<uint32_t> tried;
+
+		for (int n = 0; n < 8; n++) {
+			struct bb_choice c = bb_balance_choose(
+				b, tried.data(), tried.size(), now);
+			bool insist = n >= 4 || c.backend == BB_NO_ROW;
+
+			if (c.backend == BB_NO_ROW)
+				c = bb_balance_choose_any(b, now);
+			if (c.backend == BB_NO_ROW)
+				return -1;
+			if (!use_breakers ||
+			    bb_breaker_admit(&breakers[c.backend], lookup,
+					     insist, now)) {
+				*path = c.path;
+				return (int)c.backend;
+			}
+			struct bb_load load = load_of((int)c.backend, now);
+
+			bb_path_end(c.path);
+			bb_balance_report(b, c.path, &load, now);
+			tried.push_back(c.backend);
+		}
+		return -1;
+	}
+	struct Running {
+		int64_t end;
+		int server;
+		struct bb_balance *entry;
+		struct bb_path *path;
+		bool failed;
+		int64_t began;
+		bool operator<(const Running &o) const
+		{
+			return end > o.end;
+		}
+	};
+	void run(int64_t length)
+	{
+		std::priority_queue<Running> ends;
+		int64_t next = 0;
+
+		for (int64_t now = 0; now < length; now += kMs) {
+			while (!ends.empty() && ends.top().end <= now) {
+				finish(ends.top(), now);
+				ends.pop();
+			}
+			while (next <= now) {
+				start(&ends, now);
+				next += between_ms(1, 33);
+			}
+		}
+		while (!ends.empty()) {
+			finish(ends.top(), length);
+			ends.pop();
+		}
+	}
+	void start(std::priority_queue<Running> *ends, int64_t now)
+	{
+		struct bb_balance *b =
+			entries[g_rand_int_range(random, 0, kEntries)];
+		bool lookup = g_rand_double(random) < 0.3;
+		struct bb_path *path = nullptr;
+		int server = place(b, lookup, now, &path);
+		bool failed;
+
+		requests++;
+		if (server < 0) {
+			refused++;
+			return;
+		}
+		failed = fails(server, now);
+		running[server]++;
+		ends->push({ now + (failed ? kMs : between_ms(200, 600)), server,
+			     b, path, failed, now });
+	}
+	void finish(const Running &r, int64_t now)
+	{
+		struct bb_load load;
+
+		running[r.server]--;
+		errors += r.failed;
+		if (r.failed)
+			bb_breaker_failed(&breakers[r.server], r.began, now);
+		else
+			bb_breaker_succeeded(&breakers[r.server]);
+		load = load_of(r.server, now);
+		bb_balance_report(r.entry, r.path, &load, now);
+		bb_path_end(r.path);
+	}
+};
+
+} // namespace
+
+// Guards against failing backend servers that attract requests because they
+// answer at once. Replays the load with the balancer alone, and with the
+// breaker, which must spare callers most of the errors and refuse nothing.
+TEST(Breaker, FailingSpellsDoNotAttractRequests)
+{
+	FailingSpells before(false), after(true);
+
+	before.run(120 * BB_US_PER_S);
+	after.run(120 * BB_US_PER_S);
+	RecordProperty("errors_before", before.errors);
+	RecordProperty("errors_after", after.errors);
+	EXPECT_GT(before.errors * 100, before.requests * 20);
+	EXPECT_LT(after.errors * 3, before.errors);
+	EXPECT_EQ(0, after.refused);
+}
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -78,6 +78,76 @@
 	EXPECT_FALSE(known);
 }
 
+// Guards against a route of another host, a host name compared by case, and a
+// prefix that ends in '/' but matches the path without it.
+TEST(Config, RoutesByHostAndTrailingSlash)
+{
+	Document d;
+	auto row = [](const std::string &name, const std::string &more) {
+		return "{\"name\":\"" + name +
+		       "\",\"methods\":[\"GET\"],\"service\":\"orders\","
+		       "\"idempotent\":true,\"access\":\"public\","
+		       "\"max_body_bytes\":1,\"timeout_ms\":1," +
+		       more + "}";
+	};
+	bool known;
+
+	d.routes = row("any", "\"path_prefix\":\"/a/\"") + "," +
+		   row("x", "\"path_prefix\":\"/a/\",\"host_name\":\"X.example\"") +
+		   "," +
+		   row("x-below",
+		       "\"path_prefix\":\"/a/b/\",\"host_name\":\"X.example\"");
+	Config c = parse(d.json());
+	ASSERT_NE(nullptr, c);
+	auto match = [&](const char *host, const char *path) {
+		uint32_t r = bb_config_match_route(c.get(), host, path,
+						   BB_METHOD_GET, &known);
+
+		return std::string(r == BB_NO_ROW ? "-" : c->routes[r].name);
+	};
+	EXPECT_EQ("any", match(nullptr, "/a/1"));
+	EXPECT_EQ("any", match("y.example", "/a/b/1"));
+	EXPECT_EQ("x", match("x.EXAMPLE", "/a/1"));
+	EXPECT_EQ("x", match("x.example", "/a/"));
+	EXPECT_EQ("x", match("x.example", "/a/b"));
+	EXPECT_EQ("x-below", match("x.example", "/a/b/"));
+	EXPECT_EQ("x-below", match("x.example", "/a/b/c/d"));
+	EXPECT_EQ("-", match("x.example", "/a"));
+	EXPECT_EQ("-", match("x.example", "/ab/"));
+	EXPECT_EQ(BB_ACCESS_PUBLIC, c->routes[0].access);
+}
+
+// Guards against parts of a split that are lost, or accepted although they are
+// no share of a defined service.
+TEST(Config, SplitRoutes)
+{
+	const std::string one = "\"service\":\"orders\",\"idempotent\":false";
+	auto with = [&](const std::string &split) {
+		Document d;
+
+		d.routes.replace(d.routes.find(one), one.size(),
+				 "\"split\":" + split + "," + one);
+		return d.json();
+	};
+	std::string why;
+	Config c = parse(with("[{\"service\":\"orders\",\"weight\":90},"
+			      "{\"service\":\"lookup\",\"weight\":10}]"));
+
+	ASSERT_NE(nullptr, c);
+	ASSERT_EQ(2u, c->routes[1].split_nr);
+	EXPECT_EQ(1u, c->routes[1].split[1].service);
+	EXPECT_EQ(10, c->routes[1].split[1].weight);
+	EXPECT_EQ(text_of(c.get()), text_of(parse(text_of(c.get())).get()));
+	EXPECT_EQ(nullptr, parse(with("[]"), &why));
+	EXPECT_EQ(nullptr, parse(with("[{\"service\":\"lookup\",\"weight\":1}]"),
+				 &why));
+	EXPECT_EQ(nullptr,
+		  parse(with("[{\"service\":\"orders\",\"weight\":0}]"), &why));
+	EXPECT_EQ(nullptr,
+		  parse(with("[{\"service\":\"nobody\",\"weight\":1}]"), &why));
+	EXPECT_NE(std::string::npos, why.find("column split"));
+}
+
 // Differential test of the segment tree against a scan of all routes.
 TEST(Config, RouteMatchEqualsScan)
 {
--- /dev/null
+++ b/src/test_lib/test_directory.cc
@@ -0,0 +1,160 @@
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+#include "baobabward/clock.h"
+#include "baobabward/directory.h"
+
+namespace
+{
+
+const int64_t kSecond = BB_US_PER_S;
+
+struct Directory {
+	int64_t now = 100 * kSecond;
+	struct bb_directory *d;
+
+	Directory()
+	{
+		struct bb_directory_options o = {};
+
+		o.self_address = "10.0.0.1";
+		o.self_zone = "za";
+		d = bb_directory_new(&o);
+		bb_directory_tick(d, now);
+	}
+	~Directory()
+	{
+		bb_directory_delete(d);
+	}
+	void put(const char *id, const char *address, int64_t started_ms = 1,
+		 bool leaving = false, const char *service = "orders")
+	{
+		struct bb_directory_entry e = {};
+
+		e.id = (char *)id;
+		e.service = (char *)service;
+		e.zone = (char *)"zb";
+		e.address = (char *)address;
+		e.slots = 5;
+		e.leaving = leaving;
+		e.started_ms = started_ms;
+		bb_directory_put(d, &e, now);
+	}
+	// Names of the backend servers after the tick; '-' marks leaving ones.
+	std::string names()
+	{
+		std::string s;
+		size_t nr;
+
+		bb_directory_tick(d, now);
+		auto *e = bb_directory_entries(d, &nr);
+		for (size_t i = 0; i < nr; i++)
+			s += std::string(i ? " " : "") + e[i]->id +
+			     (e[i]->leaving ? "-" : "");
+		g_free(e);
+		return s;
+	}
+	std::string hosts()
+	{
+		std::string s;
+		size_t nr;
+
+		bb_directory_tick(d, now);
+		auto *h = bb_directory_hosts(d, &nr);
+		for (size_t i = 0; i < nr; i++)
+			s += std::string(i ? " " : "") + h[i].address;
+		g_free(h);
+		return s;
+	}
+};
+
+} // namespace
+
+// Guards against requests to a backend server whose entry was removed, and
+// against a host that is forgotten while callers beside it still need it.
+TEST(Directory, RemovedEntryGoesAtOnceItsHostLater)
+{
+	Directory x;
+
+	x.put("a", "10.0.0.2");
+	x.put("b", "10.0.0.3", 1, true);
+	EXPECT_EQ("a b-", x.names());
+	EXPECT_EQ("10.0.0.1 10.0.0.2 10.0.0.3", x.hosts());
+	bb_directory_remove(x.d, "a", x.now);
+	EXPECT_EQ("b-", x.names());
+	x.now += 59 * kSecond;
+	EXPECT_EQ("10.0.0.1 10.0.0.2 10.0.0.3", x.hosts());
+	x.now += 2 * kSecond;
+	EXPECT_EQ("10.0.0.1 10.0.0.3", x.hosts());
+}
+
+// Guards against dropping backend servers whose entries lapsed while the
+// registry was away, and against keeping those that did not come back.
+TEST(Directory, EntriesThatLapsedInAnOutageMayComeBack)
+{
+	Directory x;
+
+	x.put("a", "10.0.0.2");
+	x.put("b", "10.0.0.3");
+	bb_directory_lost(x.d);
+	x.now += 600 * kSecond;
+	EXPECT_EQ("a b", x.names());
+	EXPECT_EQ("10.0.0.1 10.0.0.2 10.0.0.3", x.hosts());
+	bb_directory_regained(x.d, x.now);
+	bb_directory_begin_list(x.d);
+	bb_directory_end_list(x.d, x.now);
+	EXPECT_EQ("a b", x.names());
+	x.now += 2 * kSecond;
+	x.put("a", "10.0.0.2");
+	EXPECT_EQ("a b", x.names());
+	x.now += kSecond;
+	EXPECT_EQ("a", x.names());
+	// Without an outage nothing is awaited.
+	bb_directory_begin_list(x.d);
+	bb_directory_end_list(x.d, x.now);
+	EXPECT_EQ("", x.names());
+}
+
+// Guards against a delayed write of a former process that hides the present
+// one, and against a restart under the same name that changes nothing.
+TEST(Directory, LaterStartWins)
+{
+	Directory x;
+
+	x.put("a", "10.0.0.2", 1000);
+	EXPECT_EQ("a", x.names());
+	x.put("a", "10.0.0.2", 2000);
+	EXPECT_TRUE(bb_directory_tick(x.d, x.now));
+	x.put("a", "10.0.0.2", 1000, true);
+	EXPECT_FALSE(bb_directory_tick(x.d, x.now));
+	EXPECT_EQ("a", x.names());
+}
+
+// Guards against two backend servers at one address, of which only the one
+// that started last can be there.
+TEST(Directory, AddressBelongsToTheLastStart)
+{
+	Directory x;
+
+	x.put("old", "10.0.0.2", 1000);
+	x.put("new", "10.0.0.2", 2000, false, "lookup");
+	EXPECT_EQ("new", x.names());
+	bb_directory_remove(x.d, "new", x.now);
+	EXPECT_EQ("old", x.names());
+}
+
+// Guards against a new configuration for each heartbeat.
+TEST(Directory, SameEntryIsNoChange)
+{
+	Directory x;
+
+	x.put("a", "10.0.0.2");
+	EXPECT_TRUE(bb_directory_tick(x.d, x.now));
+	x.put("a", "10.0.0.2");
+	x.now += 100 * kSecond;
+	EXPECT_FALSE(bb_directory_tick(x.d, x.now));
+	x.put("a", "10.0.0.2", 1, true);
+	EXPECT_TRUE(bb_directory_tick(x.d, x.now));
+}
--- /dev/null
+++ b/src/test_lib/test_holder.cc
@@ -0,0 +1,128 @@
+// Groups held by rank, without leases.
+#include <gtest/gtest.h>
+#include <set>
+#include <string>
+
+#include "lease_fixture.h"
+
+namespace
+{
+
+// Holders of three hosts, and which hosts are alive.
+struct Ranked : ThreeHosts {
+	std::set<uint32_t> alive = { 0, 1, 2 };
+	uint32_t permille = 1000;
+	struct bb_account account = {};
+	uint32_t group;
+	struct bb_holder *holders[3];
+
+	Ranked()
+	{
+		account.name = (char *)"account";
+		config.accounts = &account;
+		config.accounts_nr = 1;
+		group = bb_lease_group("account", 7);
+		bb_lease_map_set_holders(map, 1);
+		for (int i = 0; i < 3; i++) {
+			struct bb_holder_options o = {};
+
+			o.self = hosts[i].name;
+			o.incarnation = 1;
+			o.data = this;
+			o.alive = [](void *d, uint32_t host, int64_t) {
+				return ((Ranked *)d)->alive.count(host) > 0;
+			};
+			o.reachable = [](void *d, int64_t) {
+				return ((Ranked *)d)->permille;
+			};
+			holders[i] = bb_holder_new(&o);
+			bb_holder_set_config(holders[i], &config, map, now);
+		}
+	}
+	~Ranked()
+	{
+		for (auto *h : holders)
+			bb_holder_delete(h);
+	}
+	void tick()
+	{
+		for (auto *h : holders)
+			bb_holder_tick(h, now);
+	}
+	uint32_t share(uint32_t host)
+	{
+		return bb_holder_share(holders[host], group, now);
+	}
+	uint32_t first()
+	{
+		return bb_lease_map_seat(map, group, 0);
+	}
+};
+
+} // namespace
+
+// Guards against a group that no host holds, or that two hold while they agree
+// on who is alive.
+TEST(Holder, FirstLiveHostHoldsTheGroup)
+{
+	Ranked x;
+
+	x.tick();
+	for (uint32_t h = 0; h < 3; h++)
+		EXPECT_EQ(h == x.first() ? (uint32_t)BB_LEASE_SHARE_ONE : 0u,
+			  x.share(h));
+	x.alive.erase(x.first());
+	x.tick();
+	EXPECT_EQ(0u, x.share(x.first()));
+	EXPECT_EQ((uint32_t)BB_LEASE_SHARE_ONE,
+		  x.share(bb_lease_map_seat(x.map, x.group, 1)));
+	x.alive.insert(x.first());
+	x.tick();
+	EXPECT_EQ((uint32_t)BB_LEASE_SHARE_ONE, x.share(x.first()));
+	EXPECT_EQ(0u, x.share(bb_lease_map_seat(x.map, x.group, 1)));
+}
+
+// Guards against the small sides of a partition spending the whole rate.
+TEST(Holder, MinorityHoldsItsPart)
+{
+	Ranked x;
+
+	x.permille = 500;
+	x.tick();
+	EXPECT_EQ((uint32_t)BB_LEASE_SHARE_ONE, x.share(x.first()));
+	x.permille = 250;
+	x.now += 100 * BB_US_PER_MS;
+	x.tick();
+	EXPECT_EQ((uint32_t)BB_LEASE_SHARE_ONE / 4, x.share(x.first()));
+}
+
+// Guards against a paused holder that goes on with a share that another host
+// took, and against refilling for the time of the pause.
+TEST(Holder, PausedHolderStartsAnew)
+{
+	Ranked x;
+	uint64_t since, before;
+
+	x.tick();
+	before = bb_holder_integral(x.holders[x.first()], x.group, x.now,
+				    &since);
+	EXPECT_EQ(before, since);
+	x.now += 10 * BB_US_PER_S;
+	EXPECT_EQ(0u, x.share(x.first()));
+	x.tick();
+	EXPECT_EQ(bb_holder_integral(x.holders[x.first()], x.group, x.now,
+				     &since),
+		  since);
+	EXPECT_LE(since - before,
+		  (uint64_t)BB_LEASE_SHARE_ONE * 1200 * BB_US_PER_MS);
+}
+
+// Guards against work for groups that have no client account or service, of
+// which there are far more than others in a small fleet.
+TEST(Holder, UnusedGroupsAreNotHeld)
+{
+	Ranked x;
+
+	x.tick();
+	EXPECT_EQ(1u, bb_holder_groups(x.holders[x.first()], x.now));
+}
