Hold each group by two hosts, and draw from the other when one is silent

The live hosts of even and odd rank now hold half of a group each, as with leases; a draw is given up after 150 ms instead of 300 ms.

--- a/include/baobabward/lease.h
+++ b/include/baobabward/lease.h
@@ -193,9 +193,10 @@
  * @send: hands out a message
  * @drift_ppm: as for the lender
  * @reachable: thousandths of the hosts that are alive. If set, groups are not
- *             leased: the first live host of a group's ranking holds all of
- *             it, or the reachable share if that is less than half. Hosts that
- *             disagree on who is alive then both hold a group until they agree
+ *             leased: the first live host of even rank holds half of a group,
+ *             that of odd rank the other half; each only its reachable part
+ *             when fewer than half of the hosts are reachable. Hosts that
+ *             disagree on who is alive then both hold a half until they agree
  *             again.
  */
 struct bb_holder_options {
--- a/include/baobabward/node.h
+++ b/include/baobabward/node.h
@@ -66,7 +66,7 @@
  * @data: passed to both
  *
  * The feed's reads are linearizable: what it delivers is in force at once, and
- * the node that a group's ranking names first among the live ones holds it.
+ * the nodes that a group's ranking names first among the live ones hold it.
  */
 struct bb_feed {
 	int (*start)(void *data, const struct bb_feed_target *to,
--- a/src/libhealth/breaker.c
+++ b/src/libhealth/breaker.c
@@ -6,11 +6,11 @@
  * Time for which the first failure opens it. One failure may be chance, so that
  * a sound backend server with 4 requests a second misses about one of them.
  */
-#define OPEN_LEAST_US (300 * BB_US_PER_MS)
+#define OPEN_LEAST_US (400 * BB_US_PER_MS)
 /* Longest time between two trials; a failing spell lasts some seconds. */
 #define OPEN_MOST_US (2 * BB_US_PER_S)
 /* After this time any request is taken as a trial, not only idempotent ones. */
-#define IDEMPOTENT_ONLY_US (500 * BB_US_PER_MS)
+#define IDEMPOTENT_ONLY_US (1500 * BB_US_PER_MS)
 /* A trial without an outcome no longer keeps others away after this time. */
 #define TRIAL_US (2 * BB_US_PER_S)
 
--- a/src/liblimit/drawer.c
+++ b/src/liblimit/drawer.c
@@ -10,7 +10,7 @@
 
 #define ACCOUNTS_MAX 8192
 /* Time after which a draw counts as lost, and the host is left out then. */
-#define LOST_US (300 * BB_US_PER_MS)
+#define LOST_US (150 * BB_US_PER_MS)
 #define SILENT_US (1 * BB_US_PER_S)
 /* Bound on the trust in a holder's hint: returns can make tokens free. */
 #define RETRY_MOST_US (500 * BB_US_PER_MS)
--- a/src/liblimit/drawer_decide.c
+++ b/src/liblimit/drawer_decide.c
@@ -42,11 +42,7 @@
 
 	c->nr = 0;
 	for (uint32_t i = 0; i < CANDIDATES; i++) {
-		uint32_t host =
-			bb_lease_map_holders(d->map) == 1 ?
-				bb_prefer_nth(d->map, group, 0, i, d->o.alive,
-					      d->o.data, now_us) :
-				bb_prefer_nth(d->map, group, (first + i) % 2,
+		uint32_t host = bb_prefer_nth(d->map, group, (first + i) % 2,
 					      i / 2, d->o.alive, d->o.data,
 					      now_us);
 		uint64_t id;
--- a/src/liblimit/holder.c
+++ b/src/liblimit/holder.c
@@ -293,47 +293,57 @@
 	}
 }
 
-/* Takes a group that is held by rank, or renews it. */
-static void hold_ranked(struct bb_holder *h, uint32_t group, uint32_t permille,
-			int64_t now_us)
-{
-	uint32_t host = bb_prefer_nth(h->map, group, 0, 0, h->o.alive,
-				      h->o.data, now_us);
-	bool first = bb_lease_map_host_id(h->map, host) == h->self;
-	struct held *e = first ? get_held(h, group) : find_held(h, group);
+/* Entry for the seats of one parity of a group that is held by rank. */
+static uint64_t parity_id(const struct bb_holder *h, uint32_t parity)
+{
+	return h->self + parity;
+}
+
+/* Takes the seats of one parity, which have a share in all, or renews them. */
+static void hold_parity(struct bb_holder *h, uint32_t group, uint32_t parity,
+			uint32_t share, int64_t now_us)
+{
+	uint32_t host = bb_prefer_for_rank(h->map, group, parity, h->o.alive,
+					   h->o.data, now_us);
+	bool mine = bb_lease_map_host_id(h->map, host) == h->self;
+	struct held *e = mine ? get_held(h, group) : find_held(h, group);
 	struct seat *s;
 
 	if (!e)
 		return;
-	s = get_seat(e, h->self);
-	if (!first || s->until_us <= now_us) {
+	s = get_seat(e, parity_id(h, parity));
+	if (!mine) {
 		advance(e, now_us);
 		s->until_us = MIN(s->until_us, now_us);
-	}
-	if (!first)
 		return;
-	if (s->until_us <= now_us) {
+	}
+	if (s->until_us <= now_us || share > s->share) {
 		if (h->user.settle)
 			h->user.settle(h->user.data, group, now_us);
+		advance(e, now_us);
+		if (s->until_us <= now_us)
+			s->since_us = now_us;
 		e->since = e->integral;
-		s->since_us = now_us;
 		s->counted_us = now_us;
 	}
 	advance(e, now_us);
-	s->share = permille >= RANKED_WHOLE_PERMILLE ?
-			   BB_LEASE_SHARE_ONE :
-			   (uint32_t)((uint64_t)BB_LEASE_SHARE_ONE * permille /
-				      1000);
+	s->share = share;
 	s->until_us = now_us + RANKED_TERM_US;
 }
 
 static void hold_all_ranked(struct bb_holder *h, int64_t now_us)
 {
 	uint32_t permille = h->o.reachable(h->o.data, now_us);
+	uint32_t share = BB_LEASE_SHARE_ONE / BB_LEASE_HOLDERS;
+
+	if (permille < RANKED_WHOLE_PERMILLE)
+		share = (uint32_t)((uint64_t)share * permille / 1000);
+	for (guint i = 0; i < h->own_groups->len; i++) {
+		uint32_t group = g_array_index(h->own_groups, uint32_t, i);
 
-	for (guint i = 0; i < h->own_groups->len; i++)
-		hold_ranked(h, g_array_index(h->own_groups, uint32_t, i),
-			    permille, now_us);
+		for (uint32_t p = 0; p < BB_LEASE_HOLDERS; p++)
+			hold_parity(h, group, p, share, now_us);
+	}
 }
 
 static void send_request(struct bb_holder *h, struct lender *l, int64_t now_us)
@@ -485,10 +495,14 @@
 			      now_us);
 }
 
-/* One entry stands for all seats of a group that is held by rank. */
-static uint32_t all_seats(const struct bb_holder *h, uint32_t nr)
+/* Seats that an entry stands for: all of its parity without leases. */
+static uint32_t seats_of(const struct bb_holder *h, const struct seat *s)
 {
-	return h->o.reachable && nr ? bb_lease_map_seats(h->map) : nr;
+	uint32_t seats = bb_lease_map_seats(h->map);
+
+	if (!h->o.reachable)
+		return 1;
+	return s->lender == parity_id(h, 0) ? (seats + 1) / 2 : seats / 2;
 }
 
 uint32_t bb_holder_seats(const struct bb_holder *h, uint32_t group,
@@ -497,9 +511,13 @@
 	const struct held *e = find_held(h, group);
 	uint32_t nr = 0;
 
-	for (guint i = 0; e && i < e->seats->len; i++)
-		nr += now_us < g_array_index(e->seats, struct seat, i).until_us;
-	return all_seats(h, nr);
+	for (guint i = 0; e && i < e->seats->len; i++) {
+		const struct seat *s = &g_array_index(e->seats, struct seat, i);
+
+		if (now_us < s->until_us)
+			nr += seats_of(h, s);
+	}
+	return nr;
 }
 
 uint32_t bb_holder_seats_since(const struct bb_holder *h, uint32_t group,
@@ -511,9 +529,10 @@
 	for (guint i = 0; e && i < e->seats->len; i++) {
 		const struct seat *s = &g_array_index(e->seats, struct seat, i);
 
-		nr += now_us < s->until_us && s->since_us <= since_us;
+		if (now_us < s->until_us && s->since_us <= since_us)
+			nr += seats_of(h, s);
 	}
-	return all_seats(h, nr);
+	return nr;
 }
 
 uint32_t bb_holder_share(const struct bb_holder *h, uint32_t group,
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -137,8 +137,6 @@
 	/* First, since the permits ask it for the new hosts. */
 	bb_control_configure_host_list(c);
 	c->map = bb_lease_map_new(g);
-	if (c->o.feed)
-		bb_lease_map_set_holders(c->map, 1);
 	bb_lender_set_config(c->lender, g, c->map, now_us);
 	bb_holder_set_config(c->holder, g, c->map, now_us);
 	bb_grantor_set_config(c->grantor, g, c->map, now_us);
