--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -47,6 +47,8 @@
  *                   request may use while another may follow
  * @breaker: redirect requests at once from backend servers that fail
  * @probes: probe backend servers with few requests
+ * @path_check_ms: time without a sign of life after which a host is asked before
+ *                 a request is sent to it, 0 for never
  * @path_floor: avoid no more silent paths than the floor of a service allows
  * @reserve: spend a part of a client account's rate while the holder of its
  *           group cannot be reached
@@ -84,6 +86,7 @@
 	uint32_t attempt_percent;
 	uint32_t breaker;
 	uint32_t probes;
+	uint32_t path_check_ms;
 	uint32_t path_floor;
 	uint32_t reserve;
 	uint32_t draw_wait_ms;
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -272,8 +272,17 @@
 	path_failed(t, BB_VERDICT_NOT_RUN);
 }
 
-static bool session_is_fresh(const struct bb_session *s, int64_t now_us)
+/*
+ * No request is risked on a path that may have been cut since the host was last
+ * heard of: a non-idempotent one cannot be repeated, the others cost a retry.
+ */
+static bool session_is_fresh(const struct bb_entry *e,
+			     const struct bb_session *s, int64_t now_us)
 {
+	int64_t check_us = e->o.path_check_us;
+
+	if (check_us && now_us - s->heard_us >= check_us)
+		return false;
 	return s->known && now_us - s->welcome_us < SESSION_MAX_AGE_US;
 }
 
@@ -356,7 +365,7 @@
 	int64_t now_us = bb_clock_now_us();
 
 	t->sent_us = now_us;
-	if (!t->local && (!s || !session_is_fresh(s, now_us))) {
+	if (!t->local && (!s || !session_is_fresh(e, s, now_us))) {
 		t->state = ATTEMPT_WAITS_FOR_SESSION;
 		bb_attempts_set_timer(t, attempt_time_us(t, now_us));
 		if (s)
@@ -582,10 +591,12 @@
 {
 	const struct bb_entry *e = t->entry;
 
-	return t->state == ATTEMPT_SENT && !t->local && t->host != BB_NO_ROW &&
-	       bb_call_route(t->call)->idempotent &&
-	       now_us - t->sent_us >= LOST_CHECK_US &&
-	       !e->o.connected(e->o.data, t->host);
+	if (t->state != ATTEMPT_SENT || t->local || t->host == BB_NO_ROW ||
+	    !bb_call_route(t->call)->idempotent ||
+	    now_us - t->sent_us < LOST_CHECK_US)
+		return false;
+	return !e->o.connected(e->o.data, t->host) ||
+	       attempt_session(t)->silent;
 }
 
 void bb_attempts_retry_lost(struct bb_entry *e, int64_t now_us)
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -36,6 +36,8 @@
  * @retry_slack: retries of the whole fleet beyond that in @retry_window_us; 0
  *               to bound each node alone
  * @retry_window_us: see bb_retry_limits_of_fleet()
+ * @path_check_us: time without a sign of life after which a host is asked
+ *                 before a request is sent to it, 0 for never
  * @keep_path_floor: see bb_balance_filter_paths()
  * @use_reserve: a call that waited in vain may use the account's reserve
  * @draw_wait_us: longest wait for a token of the rate limit
@@ -56,6 +58,7 @@
 	uint32_t retry_percent;
 	uint32_t retry_slack;
 	int64_t retry_window_us;
+	int64_t path_check_us;
 	bool keep_path_floor;
 	bool use_reserve;
 	int64_t draw_wait_us;
--- a/src/libnode/entry_paths.c
+++ b/src/libnode/entry_paths.c
@@ -37,11 +37,15 @@
 void bb_entry_path_answered(struct bb_entry *e, uint32_t host, bool hello,
 			    int64_t now_us)
 {
+	struct bb_session *s;
+
 	if (host >= e->probes_us->len)
 		return;
 	*probe_us(e, host) = 0;
-	bb_sessions_find(e->o.sessions, e->snapshot->config->hosts[host].name)
-		->heard_us = now_us;
+	s = bb_sessions_find(e->o.sessions,
+			     e->snapshot->config->hosts[host].name);
+	s->heard_us = now_us;
+	s->silent = false;
 	bb_paths_answer(e->paths, host, hello, now_us);
 }
 
@@ -68,6 +72,7 @@
 		if (s->hello_us && now_us - s->hello_us >= HELLO_SILENT_US) {
 			bb_entry_path_silent(e, t->host, s->hello_us, now_us);
 			s->hello_us = 0;
+			s->silent = true;
 		} else if (!s->hello_us &&
 			   now_us - MAX(s->heard_us, t->sent_us) >=
 				   CHECK_AFTER_US) {
--- a/src/libnode/session.h
+++ b/src/libnode/session.h
@@ -19,6 +19,7 @@
  * @welcome_us: own clock when WELCOME arrived, so that the node's clock was
  *              at least @receiver_us then
  * @heard_us: when the last WELCOME or RESULT came, 0 for never
+ * @silent: a HELLO was not answered and nothing was heard since
  * @hello_us: own clock when the last HELLO was sent, 0 when it was answered
  * @nonce: of the last HELLO
  */
@@ -30,6 +31,7 @@
 	int64_t welcome_us;
 	int64_t hello_us;
 	int64_t heard_us;
+	bool silent;
 	int64_t used_us;
 	uint64_t nonce;
 };
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -83,6 +83,10 @@
 	  "redirect requests at once from backend servers that fail" },
 	{ "probes", SETTING_NUMBER, AT(probes), "1", 0, 1, "0|1",
 	  "probe backend servers that have few requests" },
+	{ "path-check-ms", SETTING_NUMBER, AT(path_check_ms), "0", 0, 60000,
+	  "MS",
+	  "time without a sign of life after which a host is asked before a "
+	  "request is sent to it, 0 for never" },
 	{ "path-floor", SETTING_NUMBER, AT(path_floor), "1", 0, 1, "0|1",
 	  "avoid no more silent paths than the floor of a service allows" },
 	{ "reserve", SETTING_NUMBER, AT(reserve), "0", 0, 1, "0|1",
