Look for a free slot before waiting; bound waits by the target latency

Also: a refusal after an attempt that may have run is 502, never 503; shedding does not open the breaker.

--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -102,6 +102,22 @@
 				   const uint32_t *excluded, size_t excluded_nr,
 				   int64_t now_us);
 
+/**
+ * bb_balance_choose_least() - choose the lowest estimated load of all.
+ * @b: balance
+ * @excluded: handles that are not chosen
+ * @excluded_nr: number of @excluded
+ * @now_us: current time
+ *
+ * For a request that will wait, after answers have told the present loads. It
+ * looks at every backend server of the service.
+ *
+ * Return: choice, with BB_NO_ROW when no backend server is eligible.
+ */
+struct bb_choice bb_balance_choose_least(struct bb_balance *b,
+					 const uint32_t *excluded,
+					 size_t excluded_nr, int64_t now_us);
+
 /**
  * bb_balance_choose_any() - choose among all backend servers that are in.
  * @b: balance
--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -37,6 +37,9 @@
  * @not_after_us: latest start
  * @idempotent: may wait until @not_after_us; otherwise the shorter bound
  *              booking_wait_us applies as well
+ * @wait_most_us: longest wait that is still of full use, instead of those; 0 if
+ *                they apply. It is exceeded, up to @not_after_us, while the
+ *                queue has been longer than that for a short time only
  * @fresh: must not reuse an idle connection
  * @connect: set by bb_queue_pop(): open a new connection, already counted
  * @close_idle: set by bb_queue_pop(): close an idle connection first; the
@@ -50,6 +53,7 @@
 	double weight;
 	int64_t not_after_us;
 	bool idempotent;
+	int64_t wait_most_us;
 	bool fresh;
 	bool connect;
 	bool close_idle;
@@ -116,6 +120,16 @@
  */
 void bb_queue_delete(struct bb_queue *q);
 
+/**
+ * bb_queue_is_free() - whether an entry would start at once.
+ */
+bool bb_queue_is_free(const struct bb_queue *q);
+
+/**
+ * bb_queue_service_us() - mean time for which a request runs.
+ */
+int64_t bb_queue_service_us(const struct bb_queue *q);
+
 /**
  * bb_queue_set_limits() - apply limits of a new configuration.
  * @q: queue
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -47,6 +47,9 @@
  *                   request may use while another may follow
  * @breaker: redirect requests at once from backend servers that fail
  * @probes: probe backend servers with few requests
+ * @slot_searches: backend servers that a request asks for a free slot before it
+ *                 waits for one
+ * @report_stale_ms: age at which a report of load counts half
  * @path_check_ms: time without a sign of life after which a host is asked before
  *                 a request is sent to it, 0 for never
  * @path_floor: avoid no more silent paths than the floor of a service allows
@@ -86,6 +89,8 @@
 	uint32_t attempt_percent;
 	uint32_t breaker;
 	uint32_t probes;
+	uint32_t slot_searches;
+	uint32_t report_stale_ms;
 	uint32_t path_check_ms;
 	uint32_t path_floor;
 	uint32_t reserve;
--- a/include/baobabward/wire.h
+++ b/include/baobabward/wire.h
@@ -132,7 +132,8 @@
 
 /*
  * @not_after_us: latest start of execution, in the receiver's clock; @insist:
- * the entry node has no other backend server left, see breaker.h
+ * the entry node has no other backend server left, see breaker.h; @may_wait: without
+ * a free slot it is queued, otherwise refused at once
  */
 struct bb_message_execute {
 	struct bb_request_id id;
@@ -141,6 +142,7 @@
 	uint64_t config_version;
 	bool idempotent;
 	bool insist;
+	bool may_wait;
 	struct bb_bytes backend;
 	struct bb_bytes account;
 	struct bb_bytes route;
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -270,7 +270,6 @@
 		bb_breaker_succeeded(b);
 		break;
 	case BB_OUTCOME_ERROR:
-	case BB_OUTCOME_SHED:
 	case BB_OUTCOME_TIMEOUT:
 	case BB_OUTCOME_CONNECT:
 	case BB_OUTCOME_TRUNCATED:
@@ -439,6 +438,8 @@
 		return BB_REASON_DEADLINE;
 	if (x->not_after_us - now_us > BUDGET_MAX_US)
 		return BB_REASON_BAD_REQUEST;
+	if (!x->may_wait && !bb_queue_is_free(b->queue))
+		return BB_REASON_QUEUE_FULL;
 	if (a->o.breaker && a->snapshot->config->automation &&
 	    !bb_breaker_admit(&b->breaker, x->idempotent, x->insist, now_us))
 		return BB_REASON_EJECTED;
@@ -457,18 +458,64 @@
 	return g_hash_table_lookup(a->backends, key);
 }
 
-static void fill_entry(const struct bb_adjacent *a, struct bb_job *job)
+static const struct bb_account *find_account(const struct bb_adjacent *a,
+					     const struct bb_bytes *name)
 {
 	const struct bb_config *c = a->snapshot->config;
+	uint32_t i = bb_config_find_account(c, name->data, name->size);
+
+	return i == BB_NO_ROW ? NULL : &c->accounts[i];
+}
+
+/*
+ * Share of the useful wait that a request of each rank may use, in percent. In
+ * overload the queue is short enough for those that wait, and what is less
+ * urgent is turned away first.
+ */
+static const int64_t wait_percent[] = { 100, 100, 60, 40 };
+
+/*
+ * A request waits only as long as its answer can still come within the target
+ * latency of its route; what would wait longer is refused at once.
+ */
+static void set_wait(const struct bb_adjacent *a, struct bb_job *job,
+		     int64_t now_us)
+{
+	const struct bb_route *r = find_route(a, &job->x.route);
+	const struct bb_account *account;
+	int64_t useful_us;
+	uint32_t rank;
+
+	/*
+	 * Without a client account it is a call of a backend server, whose own
+	 * work is lost if the call is refused.
+	 */
+	if (!r || !r->target_latency_ms || !job->x.account.size)
+		return;
+	/* The deadline is the end of the route's timeout, or earlier. */
+	useful_us = job->x.not_after_us - now_us;
+	if (r->timeout_ms > r->target_latency_ms)
+		useful_us -= (int64_t)(r->timeout_ms - r->target_latency_ms) *
+			     BB_US_PER_MS;
+	useful_us -= bb_queue_service_us(job->backend->queue);
+	account = find_account(a, &job->x.account);
+	rank = account && account->ranked ? account->priority : r->priority;
+	rank = MIN(rank, G_N_ELEMENTS(wait_percent) - 1);
+	job->entry.wait_most_us = MAX(1, useful_us * wait_percent[rank] / 100);
+}
+
+static void fill_entry(const struct bb_adjacent *a, struct bb_job *job,
+		       int64_t now_us)
+{
 	const struct bb_bytes *name = &job->x.account;
-	uint32_t account = bb_config_find_account(c, name->data, name->size);
+	const struct bb_account *account = find_account(a, name);
 
 	job->entry.account = XXH3_64bits(name->data, name->size);
-	job->entry.weight = account == BB_NO_ROW ? 1.0 :
-						   c->accounts[account].weight;
+	job->entry.weight = account ? account->weight : 1.0;
 	job->entry.not_after_us = job->x.not_after_us;
 	job->entry.idempotent = job->x.idempotent;
 	job->entry.fresh = !job->x.idempotent;
+	set_wait(a, job, now_us);
 }
 
 void bb_adjacent_execute(struct bb_adjacent *a, const struct bb_reply_to *to,
@@ -512,7 +559,7 @@
 	job->x = *x;
 	job->backend = b;
 	g_hash_table_insert(a->jobs, &job->x.id, job);
-	fill_entry(a, job);
+	fill_entry(a, job, now_us);
 	bb_adjacent_hop_begin(&job->hop, a->o.tracer, &job->x);
 	reason = bb_queue_push(b->queue, &job->entry, now_us);
 	if (reason)
--- a/src/libnode/call.c
+++ b/src/libnode/call.c
@@ -71,6 +71,10 @@
 		    enum bb_reason reason, uint32_t retry_after_ms)
 {
 	c->answer.status = bb_reason_status(reason);
+	/* 503 and 429 would say that it did not run. */
+	if (verdict != BB_VERDICT_NOT_RUN &&
+	    (c->answer.status == 503 || c->answer.status == 429))
+		c->answer.status = 502;
 	c->answer.verdict = verdict;
 	c->answer.reason = reason;
 	c->answer.retry_after_ms = retry_after_ms;
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -92,18 +92,38 @@
 	return service == BB_NO_ROW ? NULL : t->entry->balances[service];
 }
 
+/* One that had no free slot may be chosen again to wait there. */
+static size_t list_excluded(const struct bb_attempts *t, uint32_t *excluded)
+{
+	size_t nr = 0;
+
+	for (uint32_t i = 0; i < t->nr; i++)
+		if (!t->may_wait || !t->searched[i])
+			excluded[nr++] = t->tried[i];
+	return nr;
+}
+
 static bool choose_backend(struct bb_attempts *t)
 {
 	struct bb_balance *b = call_balance(t);
 	int64_t now_us = bb_clock_now_us();
+	uint32_t excluded[ATTEMPTS_MAX];
 	struct bb_choice choice;
+	size_t excluded_nr;
 
 	if (!b)
 		return false;
 	bb_balance_filter_paths(b, t->entry->paths,
 				t->entry->o.keep_path_floor, now_us);
-	t->insist = t->redirects >= REDIRECTS_MAX;
-	choice = bb_balance_choose(b, t->tried, t->nr, now_us);
+	t->insist = t->redirects - t->searches >= REDIRECTS_MAX;
+	t->may_wait = t->searches >= t->entry->o.slot_searches ||
+		      t->nr + 2 >= ATTEMPTS_MAX;
+	excluded_nr = list_excluded(t, excluded);
+	if (t->may_wait && t->searches)
+		choice = bb_balance_choose_least(b, excluded, excluded_nr,
+						 now_us);
+	else
+		choice = bb_balance_choose(b, excluded, excluded_nr, now_us);
 	if (choice.backend == BB_NO_ROW) {
 		/* What is left was redirected from, or asks to be avoided. */
 		t->insist = true;
@@ -133,6 +153,7 @@
 	x->config_version = t->entry->snapshot->config->version;
 	x->idempotent = r->idempotent;
 	x->insist = t->insist;
+	x->may_wait = t->may_wait;
 	x->backend = (struct bb_bytes){ b->name, strlen(b->name) };
 	x->account = (struct bb_bytes){ account, strlen(account) };
 	x->route = (struct bb_bytes){ r->name, strlen(r->name) };
@@ -187,6 +208,15 @@
 	       reason == BB_REASON_MISDIRECTED;
 }
 
+/* The backend server had no free slot; another one may have. */
+static bool is_search(const struct bb_attempts *t, enum bb_verdict verdict,
+		      enum bb_reason reason)
+{
+	return !t->may_wait && !t->gone && verdict == BB_VERDICT_NOT_RUN &&
+	       reason == BB_REASON_QUEUE_FULL &&
+	       t->call->deadline_us - bb_clock_now_us() > ATTEMPT_LEAST_US;
+}
+
 static bool is_redirect(enum bb_verdict verdict, enum bb_reason reason)
 {
 	return verdict == BB_VERDICT_NOT_RUN &&
@@ -223,6 +253,14 @@
 	/* Only a caller that hung up cancels; else the time was up. */
 	if (reason == BB_REASON_CANCELLED && !t->gone)
 		reason = BB_REASON_DEADLINE;
+	if (is_search(t, verdict, reason)) {
+		t->searched[t->nr - 1] = true;
+		t->searches++;
+		t->redirects++;
+		bb_entry_hop_attempt_end(&t->hop, verdict, reason, 0);
+		bb_attempts_next(t);
+		return;
+	}
 	note_verdict(t, verdict);
 	t->reached += may_have_reached(verdict, reason);
 	bb_entry_hop_attempt_end(&t->hop, verdict, reason, 0);
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -36,6 +36,10 @@
  * @retry_slack: retries of the whole fleet beyond that in @retry_window_us; 0
  *               to bound each node alone
  * @retry_window_us: see bb_retry_limits_of_fleet()
+ * @slot_searches: backend servers that a call asks for a free slot before it
+ *                 waits for one
+ * @report_stale_us: age at which a report of load counts half, 0 for the
+ *                   default
  * @path_check_us: time without a sign of life after which a host is asked
  *                 before a request is sent to it, 0 for never
  * @keep_path_floor: see bb_balance_filter_paths()
@@ -58,6 +62,8 @@
 	uint32_t retry_percent;
 	uint32_t retry_slack;
 	int64_t retry_window_us;
+	uint32_t slot_searches;
+	int64_t report_stale_us;
 	int64_t path_check_us;
 	bool keep_path_floor;
 	bool use_reserve;
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -35,10 +35,16 @@
 	enum attempt_state state;
 	uint32_t nr;
 	uint32_t tried[ATTEMPTS_MAX];
+	/* Of those: had no free slot. */
+	bool searched[ATTEMPTS_MAX];
 	/* Attempts that were redirected before they loaded a backend server. */
 	uint32_t redirects;
 	/* The present attempt goes to a backend server whose breaker is open. */
 	bool insist;
+	/* It may wait there; earlier ones only look for a free slot. */
+	bool may_wait;
+	/* Attempts that found no free slot. */
+	uint32_t searches;
 	/* Attempts that may have reached a backend server. */
 	uint32_t reached;
 	struct bb_request_id id;
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -83,6 +83,11 @@
 	  "redirect requests at once from backend servers that fail" },
 	{ "probes", SETTING_NUMBER, AT(probes), "1", 0, 1, "0|1",
 	  "probe backend servers that have few requests" },
+	{ "slot-searches", SETTING_NUMBER, AT(slot_searches), "0", 0, 8, "N",
+	  "backend servers that a request asks for a free slot before it waits "
+	  "for one" },
+	{ "report-stale-ms", SETTING_NUMBER, AT(report_stale_ms), "20", 1, 60000,
+	  "MS", "age at which a report of load counts half" },
 	{ "path-check-ms", SETTING_NUMBER, AT(path_check_ms), "0", 0, 60000,
 	  "MS",
 	  "time without a sign of life after which a host is asked before a "
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -291,6 +291,13 @@
 	return best;
 }
 
+static struct bb_choice take(struct member *m)
+{
+	ck_pr_inc_32(&m->path->refs);
+	ck_pr_inc_32(&m->path->in_flight);
+	return (struct bb_choice){ m->backend, m->path };
+}
+
 struct bb_choice bb_balance_choose(struct bb_balance *b,
 				   const uint32_t *excluded, size_t excluded_nr,
 				   int64_t now_us)
@@ -317,11 +324,22 @@
 		first = scan(b, excluded, excluded_nr, false, now_us);
 	if (!first)
 		first = scan(b, excluded, excluded_nr, true, now_us);
-	if (!first)
+	return first ? take(first) : none;
+}
+
+struct bb_choice bb_balance_choose_least(struct bb_balance *b,
+					 const uint32_t *excluded,
+					 size_t excluded_nr, int64_t now_us)
+{
+	struct bb_choice none = { BB_NO_ROW, NULL };
+	struct member *best;
+
+	if (!b->members_nr)
 		return none;
-	ck_pr_inc_32(&first->path->refs);
-	ck_pr_inc_32(&first->path->in_flight);
-	return (struct bb_choice){ first->backend, first->path };
+	best = scan(b, excluded, excluded_nr, false, now_us);
+	if (!best)
+		best = scan(b, excluded, excluded_nr, true, now_us);
+	return best ? take(best) : none;
 }
 
 struct bb_choice bb_balance_choose_any(struct bb_balance *b, int64_t now_us)
@@ -337,11 +355,7 @@
 		    !avoided(m, now_us))
 			best = lower(b, best, m, now_us);
 	}
-	if (!best)
-		return none;
-	ck_pr_inc_32(&best->path->refs);
-	ck_pr_inc_32(&best->path->in_flight);
-	return (struct bb_choice){ best->backend, best->path };
+	return best ? take(best) : none;
 }
 
 static struct member *find_member(struct bb_balance *b,
--- a/src/libwire/wire_layout.c
+++ b/src/libwire/wire_layout.c
@@ -111,6 +111,7 @@
 	F_U64(bb_message_execute, config_version),
 	F_BOOL(bb_message_execute, idempotent),
 	F_BOOL(bb_message_execute, insist),
+	F_BOOL(bb_message_execute, may_wait),
 	F_BYTES(bb_message_execute, backend, BB_NAME_MAX),
 	F_BYTES(bb_message_execute, account, BB_NAME_MAX),
 	F_BYTES(bb_message_execute, route, BB_NAME_MAX),
--- a/src/test_lib/test_adjacent.cc
+++ b/src/test_lib/test_adjacent.cc
@@ -73,6 +73,7 @@
 		x.receiver_incarnation = 7;
 		x.not_after_us = bb_clock_now_us() + 100 * BB_US_PER_S;
 		x.backend = { "o1", 2 };
+		x.may_wait = true;
 		x.account = { "account-1", 9 };
 		x.route = { "book", 4 };
 		x.method = { "POST", 4 };
--- a/src/test_lib/test_wire.cc
+++ b/src/test_lib/test_wire.cc
@@ -64,6 +64,7 @@
 				      5,
 				      true,
 				      true,
+				      true,
 				      bytes("backend"),
 				      bytes("account"),
 				      bytes("route"),
@@ -207,6 +208,7 @@
 	EXPECT_EQ(INT64_MAX, e->not_after_us);
 	EXPECT_TRUE(e->idempotent);
 	EXPECT_TRUE(e->insist);
+	EXPECT_TRUE(e->may_wait);
 	EXPECT_EQ("account", std::string(e->account.data, e->account.size));
 	ASSERT_EQ(2u, e->headers_nr);
 	EXPECT_EQ("*/*", std::string(e->headers[0].value.data,
