--- a/include/baobabward/breaker.h
+++ b/include/baobabward/breaker.h
@@ -27,12 +27,14 @@
  * @failures: failures in a row, 0 when closed
  * @trial: a trial is under way
  * @trial_us: when it began
+ * @failed_us: when the last failure was noted
  */
 struct bb_breaker {
 	int64_t open_until_us;
 	uint32_t failures;
 	bool trial;
 	int64_t trial_us;
+	int64_t failed_us;
 };
 
 /**
@@ -49,8 +51,11 @@
 
 /**
  * bb_breaker_succeeded() - the backend server answered a request.
+ * @b: breaker
+ * @started_us: when the request was sent; one that was sent before the last
+ *              failure says nothing of the time since
  */
-void bb_breaker_succeeded(struct bb_breaker *b);
+void bb_breaker_succeeded(struct bb_breaker *b, int64_t started_us);
 
 /**
  * bb_breaker_failed() - a request failed by the backend server's fault.
--- a/src/libhealth/breaker.c
+++ b/src/libhealth/breaker.c
@@ -35,8 +35,10 @@
 	return true;
 }
 
-void bb_breaker_succeeded(struct bb_breaker *b)
+void bb_breaker_succeeded(struct bb_breaker *b, int64_t started_us)
 {
+	if (b->failures && started_us < b->failed_us)
+		return;
 	b->failures = 0;
 	b->trial = false;
 }
@@ -53,6 +55,7 @@
 	b->open_until_us =
 		now_us + (open_us < OPEN_MOST_US ? open_us : OPEN_MOST_US);
 	b->failures++;
+	b->failed_us = now_us;
 	b->trial = false;
 }
 
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -267,7 +267,7 @@
 	switch (kind) {
 	case BB_OUTCOME_OK:
 	case BB_OUTCOME_CLIENT_ERROR:
-		bb_breaker_succeeded(b);
+		bb_breaker_succeeded(b, job->started_us);
 		break;
 	case BB_OUTCOME_ERROR:
 	case BB_OUTCOME_TIMEOUT:
--- a/src/test_lib/test_breaker.cc
+++ b/src/test_lib/test_breaker.cc
@@ -30,7 +30,7 @@
 	bb_breaker_failed(&b, 400 * kMs, 410 * kMs);
 	EXPECT_EQ(800 * kMs, bb_breaker_open_us(&b, 410 * kMs));
 	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 1210 * kMs));
-	bb_breaker_succeeded(&b);
+	bb_breaker_succeeded(&b, 1210 * kMs);
 	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 1211 * kMs));
 	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 1211 * kMs));
 }
@@ -73,6 +73,20 @@
 	EXPECT_TRUE(bb_breaker_admit(&b, false, true, now));
 }
 
+// Guards against requests that were sent before the first failure and end well
+// closing the breaker in the midst of a failing spell.
+TEST(Breaker, EarlierRequestsDoNotCloseIt)
+{
+	struct bb_breaker b = {};
+
+	bb_breaker_failed(&b, 990 * kMs, 1000 * kMs);
+	bb_breaker_succeeded(&b, 700 * kMs);
+	EXPECT_FALSE(bb_breaker_admit(&b, true, false, 1001 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 1400 * kMs));
+	bb_breaker_succeeded(&b, 1400 * kMs);
+	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 1401 * kMs));
+}
+
 namespace
 {
 
@@ -250,7 +264,7 @@
 		if (r.failed)
 			bb_breaker_failed(&breakers[r.server], r.began, now);
 		else
-			bb_breaker_succeeded(&breakers[r.server]);
+			bb_breaker_succeeded(&breakers[r.server], r.began);
 		load = load_of(r.server, now);
 		bb_balance_report(r.entry, r.path, &load, now);
 		bb_path_end(r.path);
