Bound the wait in a queue by what is of use, also for an account's first entry

The estimate for an entry that joins counts a turn of the others, and nothing waits for longer than of use. Tried and dropped: half a round for all entries, and a whole round at each check, which refused entries at the head.

--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -37,9 +37,7 @@
  * @not_after_us: latest start
  * @idempotent: may wait until @not_after_us; otherwise the shorter bound
  *              booking_wait_us applies as well
- * @wait_most_us: longest wait that is still of full use, instead of those; 0 if
- *                they apply. It is exceeded, up to @not_after_us, while the
- *                queue has been longer than that for a short time only
+ * @wait_most_us: longest wait that is of use, instead of those; 0 if they apply
  * @fresh: must not reuse an idle connection
  * @connect: set by bb_queue_pop(): open a new connection, already counted
  * @close_idle: set by bb_queue_pop(): close an idle connection first; the
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -17,8 +17,6 @@
 /* Share of a new measurement in the mean service time. */
 #define MEAN_SHARE 0.125
 /* Estimates of waiting entries are renewed at least this often. */
-/* Time for which a queue may be long before entries are refused for it. */
-#define BURST_US (500 * BB_US_PER_MS)
 #define RECHECK_US (10 * BB_US_PER_MS)
 enum entry_state { ENTRY_NONE, ENTRY_WAITING, ENTRY_RUNNING };
 
@@ -61,8 +59,6 @@
 	uint32_t connections;
 	int64_t connect_us;
 	int64_t check_us;
-	/* Since when entries would wait for longer than is of full use, or 0. */
-	int64_t long_since_us;
 	int64_t sweep_us;
 	double active_weight;
 };
@@ -216,6 +212,18 @@
 	return fmin(fair, all);
 }
 
+/* The same for an entry that joins: the other accounts have a turn first. */
+static double joining_wait_us(const struct bb_queue *q,
+			      const struct bb_queue_account *a)
+{
+	double weights = q->ring_weight + (a->waiting.n ? 0 : a->weight);
+	double rounds = fmax(weights, a->weight) / a->weight - 1;
+	double turn = rounds * account_service_us(q, a) / fmax(q->o.slots, 1);
+
+	return fmax(wait_us(q, a, a->waiting.n), fmin(turn, q->waiting *
+		    q->service_us / fmax(q->o.slots, 1)));
+}
+
 static void unlink_waiting(struct bb_queue *q, struct bb_queue_entry *e)
 {
 	struct bb_queue_account *a = e->owner;
@@ -270,24 +278,6 @@
 	return true;
 }
 
-/*
- * A short burst may wait for longer than is of full use, since the queue will
- * be shorter soon. A queue that stays long only makes every answer late.
- */
-static void bound_wait(struct bb_queue *q, struct bb_queue_entry *e,
-		       double wait, int64_t now_us)
-{
-	if (wait <= (double)e->wait_most_us)
-		q->long_since_us = 0;
-	else if (!q->long_since_us)
-		q->long_since_us = now_us;
-	if (q->long_since_us && now_us - q->long_since_us > BURST_US)
-		e->latest_us = MIN(e->latest_us, now_us + e->wait_most_us);
-	else
-		e->latest_us = MIN(e->latest_us - (int64_t)q->service_us,
-				   now_us + 2 * e->wait_most_us);
-}
-
 bool bb_queue_is_free(const struct bb_queue *q)
 {
 	return q->running < q->o.slots && !q->waiting;
@@ -312,12 +302,12 @@
 	if (a->waiting.n >= q->o.account_limit)
 		return BB_REASON_QUEUE_FULL;
 	e->latest_us = e->not_after_us;
-	if (!e->wait_most_us && !e->idempotent && e->latest_us - now_us > q->o.booking_wait_us)
+	if (e->wait_most_us)
+		e->latest_us = MIN(e->latest_us, now_us + e->wait_most_us);
+	else if (!e->idempotent && e->latest_us - now_us > q->o.booking_wait_us)
 		e->latest_us = now_us + q->o.booking_wait_us;
 	if (q->running >= q->o.slots || q->waiting)
-		wait = wait_us(q, a, a->waiting.n);
-	if (e->wait_most_us)
-		bound_wait(q, e, wait, now_us);
+		wait = joining_wait_us(q, a);
 	if (wait > (double)(e->latest_us - now_us))
 		return late_reason(e);
 	if (q->waiting >= q->o.limit && !make_room(q, a))
--- a/src/test_lib/test_queue.cc
+++ b/src/test_lib/test_queue.cc
@@ -204,6 +204,68 @@
 	EXPECT_EQ(BB_REASON_DEADLINE, f.push(2, 50 * MS, 50 * MS)->refused);
 }
 
+// Guards against a queue that is as long as the deadline allows, in which entries
+// wait and are refused then. Load pattern: a server with 5 slots and 400 ms a
+// request gets requests of 8 client accounts at twice its rate; a wait is of use
+// for 790 ms, and the deadline is 2 s away.
+TEST(Queue, OverloadRefusesAtOnce)
+{
+	struct bb_queue_options o = {};
+	int64_t refused_late = 0, refused = 0, started = 0;
+	GRand *g = g_rand_new_with_seed(5);
+	std::vector<request *> waiting;
+
+	o.slots = 5;
+	o.service_us = 400 * MS;
+	fixture f(o);
+
+	for (int64_t now = 0; now < 60 * BB_US_PER_S; now += 4 * MS) {
+		for (size_t i = f.running.size(); i-- > 0;)
+			if (f.running[i]->ends_us <= now)
+				f.finish(f.running[i], now);
+		if (g_rand_double(g) < 0.1) {
+			f.all.emplace_back(new request);
+			request *r = f.all.back().get();
+
+			r->e.account = g_rand_int_range(g, 0, 8);
+			r->e.weight = 1;
+			r->e.not_after_us = now + 2000 * MS;
+			r->e.wait_most_us = 790 * MS;
+			r->refused = bb_queue_push(f.q, &r->e, now);
+			if (!r->refused) {
+				r->at = WAITING;
+				f.waiting++;
+				waiting.push_back(r);
+			} else {
+				refused++;
+			}
+		}
+		bb_queue_expire(f.q, now);
+		while (request *r = f.pop(now)) {
+			r->ends_us = now + g_rand_int_range(g, 200, 600) * MS;
+			started++;
+		}
+		for (size_t i = waiting.size(); i-- > 0;) {
+			request *r = waiting[i];
+
+			if (r->at == WAITING)
+				continue;
+			if (r->refused) {
+				refused++;
+				refused_late += now - r->e.pushed_us > 400 * MS;
+			}
+			waiting.erase(waiting.begin() + (long)i);
+		}
+	}
+	g_rand_free(g);
+	RecordProperty("started", (int)started);
+	RecordProperty("refused", (int)refused);
+	RecordProperty("refused_late", (int)refused_late);
+	/* 12.5 requests a second for 60 s are all that it can run. */
+	EXPECT_GE(started, 750 * 9 / 10);
+	EXPECT_LE(refused_late * 5, refused);
+}
+
 // Guards against connections opened faster than one a millisecond or above the
 // bound, and against a wake-up time that is never given.
 TEST(Queue, PacesConnections)
