--- a/fuzz/fuzz_config.c
+++ b/fuzz/fuzz_config.c
@@ -53,10 +53,9 @@
 	if (strcmp(text, text_again) != 0 || c->seats_hash != again->seats_hash)
 		abort();
 	for (size_t i = 0; i < c->routes_nr; i++)
-		if (bb_config_match_route(c, c->routes[i].host_name,
-					  c->routes[i].path_prefix,
-					  c->routes[i].methods,
-					  &known) == BB_NO_ROW)
+		if (bb_config_match_route(
+			    c, c->routes[i].host_name, c->routes[i].path_prefix,
+			    c->routes[i].methods, &known) == BB_NO_ROW)
 			abort();
 	free(text);
 	free(text_again);
--- a/src/libconfig/config_columns.c
+++ b/src/libconfig/config_columns.c
@@ -532,11 +532,10 @@
 	case BB_COLUMN_ACCESS:
 		return read_access(place, value, field, err);
 	case BB_COLUMN_SPLIT:
-		return read_split(
-			b, place, value,
-			(void *)((char *)field -
-				 offsetof(struct bb_route, split)),
-			err);
+		return read_split(b, place, value,
+				  (void *)((char *)field -
+					   offsetof(struct bb_route, split)),
+				  err);
 	case BB_COLUMN_KEY_HASHES:
 		return read_key_hashes(
 			place, value,
--- a/src/libconfig/config_index.c
+++ b/src/libconfig/config_index.c
@@ -265,10 +265,9 @@
 	if (root != BB_NO_ROW)
 		return root;
 	lower = g_ascii_strdown(host, -1);
-	root = add_child(
-		c, HOST_ROOTS,
-		g_string_chunk_insert_const(c->index->strings, lower),
-		strlen(lower));
+	root = add_child(c, HOST_ROOTS,
+			 g_string_chunk_insert_const(c->index->strings, lower),
+			 strlen(lower));
 	g_free(lower);
 	return root;
 }
--- a/src/liblimit/grantor.c
+++ b/src/liblimit/grantor.c
@@ -596,8 +596,8 @@
 			     "account_empty",
 			     "account=%s level_ms=%" G_GINT64_FORMAT
 			     " drawn_ms=%" G_GINT64_FORMAT
-			     " room_ms=%" G_GINT64_FORMAT " rate=%" G_GINT64_FORMAT
-			     " retry_ms=%u",
+			     " room_ms=%" G_GINT64_FORMAT
+			     " rate=%" G_GINT64_FORMAT " retry_ms=%u",
 			     b->name, b->level / 1000, out / 1000, cap / 1000,
 			     b->rate / BB_TOKEN, grant->retry_ms);
 	}
--- a/src/liblimit/reserve.c
+++ b/src/liblimit/reserve.c
@@ -22,8 +22,8 @@
 {
 	struct bb_reserve *r = g_new0(struct bb_reserve, 1);
 
-	r->levels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  g_free);
+	r->levels =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return r;
 }
 
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -52,8 +52,8 @@
 	struct bb_load load = bb_queue_load(b->queue);
 	int64_t left_us = b->avoid_until_us - bb_clock_now_us();
 
-	load.avoid_for_us = MAX(
-		left_us, bb_breaker_open_us(&b->breaker, bb_clock_now_us()));
+	load.avoid_for_us = MAX(left_us, bb_breaker_open_us(&b->breaker,
+							    bb_clock_now_us()));
 	load.avoid_for_us = MAX(0, load.avoid_for_us);
 	if (bb_adjacent_is_leaving(b))
 		load.avoid_for_us = MAX(load.avoid_for_us, LEAVING_HINT_US);
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -113,8 +113,8 @@
 
 	if (!b)
 		return false;
-	bb_balance_filter_paths(b, t->entry->paths,
-				t->entry->o.keep_path_floor, now_us);
+	bb_balance_filter_paths(b, t->entry->paths, t->entry->o.keep_path_floor,
+				now_us);
 	t->insist = t->redirects - t->searches >= REDIRECTS_MAX;
 	t->may_wait = t->searches >= t->entry->o.slot_searches ||
 		      t->nr + 2 >= ATTEMPTS_MAX;
@@ -269,8 +269,7 @@
 	if (may_retry(t, verdict, reason, 0)) {
 		t->redirects += is_redirect(verdict, reason);
 		bb_attempts_next(t);
-	}
-	else
+	} else
 		bb_attempts_refuse(t, t->worst_verdict, reason);
 }
 
--- a/src/libnode/entry_admit.c
+++ b/src/libnode/entry_admit.c
@@ -147,7 +147,8 @@
 		t->state = ATTEMPT_WAITS_FOR_TOKEN;
 		g_queue_push_tail(&e->token_waiters, t);
 		if (!waited)
-			bb_attempts_set_timer(t, MIN(left_us, e->o.draw_wait_us));
+			bb_attempts_set_timer(t,
+					      MIN(left_us, e->o.draw_wait_us));
 		return;
 	case BB_SPEND_REFUSED:
 		break;
@@ -165,8 +166,8 @@
 		     bb_reserve_spend(e->reserve, a, hosts, bb_clock_now_us());
 
 	bb_log_event(BB_LOG_LEASE, G_LOG_LEVEL_INFO, t->call->id,
-		     "holder_silent", "account=%s waited_ms=%" G_GINT64_FORMAT
-		     " reserve=%s",
+		     "holder_silent",
+		     "account=%s waited_ms=%" G_GINT64_FORMAT " reserve=%s",
 		     a->name, e->o.draw_wait_us / BB_US_PER_MS,
 		     spent ? "spent" : "empty");
 	if (!spent) {
--- a/src/libnode/entry_paths.c
+++ b/src/libnode/entry_paths.c
@@ -66,7 +66,8 @@
 		struct bb_session *s;
 
 		if (t->state != ATTEMPT_SENT || t->local ||
-		    t->host == BB_NO_ROW || now_us - t->sent_us < CHECK_AFTER_US)
+		    t->host == BB_NO_ROW ||
+		    now_us - t->sent_us < CHECK_AFTER_US)
 			continue;
 		s = bb_sessions_find(e->o.sessions, c->hosts[t->host].name);
 		if (s->hello_us && now_us - s->hello_us >= HELLO_SILENT_US) {
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -15,11 +15,10 @@
 #include "libnode/headers.h"
 #include "libnode/loop.h"
 
-const char *const bb_execution_end_string[] = { "done",	     "not sent",
-						"timeout",   "broken",
-						"truncated", "too large",
-						"refused",   "misdirected",
-						"foreign" };
+const char *const bb_execution_end_string[] = {
+	"done",	     "not sent", "timeout",	"broken", "truncated",
+	"too large", "refused",	 "misdirected", "foreign"
+};
 
 static_assert(sizeof(bb_execution_end_string) /
 			      sizeof(*bb_execution_end_string) ==
@@ -102,7 +101,8 @@
 
 	if (x->foreign)
 		return BB_EXECUTION_FOREIGN;
-	if (x->head_complete && status == HTTP_MISDIRECTED && x->dialect->backend_id)
+	if (x->head_complete && status == HTTP_MISDIRECTED &&
+	    x->dialect->backend_id)
 		return BB_EXECUTION_MISDIRECTED;
 	if (x->not_executed)
 		return BB_EXECUTION_REFUSED;
@@ -310,7 +310,8 @@
 		return CURL_SOCKET_BAD;
 	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
 		       sizeof(unacknowledged_ms)))
-		bb_log_warning(BB_LOG_BACKEND, "cannot set TCP_USER_TIMEOUT: %s",
+		bb_log_warning(BB_LOG_BACKEND,
+			       "cannot set TCP_USER_TIMEOUT: %s",
 			       g_strerror(errno));
 	bb_connections_opened(x->executor->connections, fd, x->origin,
 			      bb_clock_now_us());
@@ -415,8 +416,7 @@
 
 static void note_request_id(struct bb_execution *x, const struct bb_header *h)
 {
-	if (!x->request_id &&
-	    bb_header_named(&h->name, x->dialect->request_id))
+	if (!x->request_id && bb_header_named(&h->name, x->dialect->request_id))
 		x->request_id = g_strndup(h->value.data, h->value.size);
 }
 
--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -449,9 +449,9 @@
 
 static bool body_has_key(const struct bb_dialect *d, struct bb_call *c)
 {
-	const char *key = caller_key(
-		d, MHD_lookup_connection_value(c->connection, MHD_HEADER_KIND,
-					       d->key));
+	const char *key =
+		caller_key(d, MHD_lookup_connection_value(
+				      c->connection, MHD_HEADER_KIND, d->key));
 
 	return key && contains((const char *)c->body->data, c->body->len, key);
 }
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -86,8 +86,8 @@
 	{ "slot-searches", SETTING_NUMBER, AT(slot_searches), "0", 0, 8, "N",
 	  "backend servers that a request asks for a free slot before it waits "
 	  "for one" },
-	{ "report-stale-ms", SETTING_NUMBER, AT(report_stale_ms), "20", 1, 60000,
-	  "MS", "age at which a report of load counts half" },
+	{ "report-stale-ms", SETTING_NUMBER, AT(report_stale_ms), "20", 1,
+	  60000, "MS", "age at which a report of load counts half" },
 	{ "path-check-ms", SETTING_NUMBER, AT(path_check_ms), "0", 0, 60000,
 	  "MS",
 	  "time without a sign of life after which a host is asked before a "
@@ -100,8 +100,7 @@
 	{ "draw-wait-ms", SETTING_NUMBER, AT(draw_wait_ms), "2000", 1, 60000,
 	  "MS", "longest wait of a request for a token of the rate limit" },
 	{ "booking-wait-ms", SETTING_NUMBER, AT(booking_wait_ms), "250", 1,
-	  60000, "MS",
-	  "longest wait of a non-idempotent request in a queue" },
+	  60000, "MS", "longest wait of a non-idempotent request in a queue" },
 	{ "config-file", SETTING_TEXT, AT(config_file), NULL, 0, 0, "FILE",
 	  "configuration document; read again when it changes" },
 	{ "config-url", SETTING_URL, AT(config_url), NULL, 0, 0, "URL",
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -220,8 +220,9 @@
 	double rounds = fmax(weights, a->weight) / a->weight - 1;
 	double turn = rounds * account_service_us(q, a) / fmax(q->o.slots, 1);
 
-	return fmax(wait_us(q, a, a->waiting.n), fmin(turn, q->waiting *
-		    q->service_us / fmax(q->o.slots, 1)));
+	return fmax(wait_us(q, a, a->waiting.n),
+		    fmin(turn,
+			 q->waiting * q->service_us / fmax(q->o.slots, 1)));
 }
 
 static void unlink_waiting(struct bb_queue *q, struct bb_queue_entry *e)
--- a/src/test_lib/test_breaker.cc
+++ b/src/test_lib/test_breaker.cc
@@ -252,8 +252,8 @@
 		}
 		failed = fails(server, now);
 		running[server]++;
-		ends->push({ now + (failed ? kMs : between_ms(200, 600)), server,
-			     b, path, failed, now });
+		ends->push({ now + (failed ? kMs : between_ms(200, 600)),
+			     server, b, path, failed, now });
 	}
 	void finish(const Running &r, int64_t now)
 	{
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -63,7 +63,8 @@
 	Config c = parse(Document().json());
 	bool known;
 	auto match = [&](const char *path, unsigned method) {
-		return bb_config_match_route(c.get(), nullptr, path, method, &known);
+		return bb_config_match_route(c.get(), nullptr, path, method,
+					     &known);
 	};
 
 	EXPECT_EQ(0u, match("/", BB_METHOD_GET));
@@ -93,7 +94,8 @@
 	bool known;
 
 	d.routes = row("any", "\"path_prefix\":\"/a/\"") + "," +
-		   row("x", "\"path_prefix\":\"/a/\",\"host_name\":\"X.example\"") +
+		   row("x",
+		       "\"path_prefix\":\"/a/\",\"host_name\":\"X.example\"") +
 		   "," +
 		   row("x-below",
 		       "\"path_prefix\":\"/a/b/\",\"host_name\":\"X.example\"");
@@ -139,8 +141,8 @@
 	EXPECT_EQ(10, c->routes[1].split[1].weight);
 	EXPECT_EQ(text_of(c.get()), text_of(parse(text_of(c.get())).get()));
 	EXPECT_EQ(nullptr, parse(with("[]"), &why));
-	EXPECT_EQ(nullptr, parse(with("[{\"service\":\"lookup\",\"weight\":1}]"),
-				 &why));
+	EXPECT_EQ(nullptr,
+		  parse(with("[{\"service\":\"lookup\",\"weight\":1}]"), &why));
 	EXPECT_EQ(nullptr,
 		  parse(with("[{\"service\":\"orders\",\"weight\":0}]"), &why));
 	EXPECT_EQ(nullptr,
@@ -198,8 +200,9 @@
 			    c->routes[k].methods & method)
 				want = k;
 		}
-		ASSERT_EQ(want, bb_config_match_route(c.get(), nullptr, p.c_str(),
-						      method, &known))
+		ASSERT_EQ(want,
+			  bb_config_match_route(c.get(), nullptr, p.c_str(),
+						method, &known))
 			<< p;
 		ASSERT_EQ(want == BB_NO_ROW && longest, known) << p;
 	}
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -77,7 +77,8 @@
 		struct bb_bytes other = bytes(large);
 
 		EXPECT_TRUE(bb_header_is_hop_by_hop(&lower)) << name;
-		EXPECT_TRUE(bb_header_is_withheld(&other, &bb_dialect_default)) << name;
+		EXPECT_TRUE(bb_header_is_withheld(&other, &bb_dialect_default))
+			<< name;
 	}
 	for (const char *name :
 	     { "authorization", "proxy-authorization", "client-account", "host",
@@ -86,14 +87,16 @@
 		struct bb_bytes b = bytes(s);
 
 		EXPECT_FALSE(bb_header_is_hop_by_hop(&b)) << name;
-		EXPECT_TRUE(bb_header_is_withheld(&b, &bb_dialect_default)) << name;
+		EXPECT_TRUE(bb_header_is_withheld(&b, &bb_dialect_default))
+			<< name;
 	}
 	for (const char *name : { "accept", "cookie", "content-type",
 				  "authorizations", "x-host", "" }) {
 		std::string s = name;
 		struct bb_bytes b = bytes(s);
 
-		EXPECT_FALSE(bb_header_is_withheld(&b, &bb_dialect_default)) << name;
+		EXPECT_FALSE(bb_header_is_withheld(&b, &bb_dialect_default))
+			<< name;
 	}
 }
 
