--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -45,6 +45,9 @@
  * @zone_id: availability zone of this node
  * @zone_penalty: load, in filled backend servers, at which another zone is
  *                as good as an idle one here; 0.25 if negative
+ * @local_most: load, in filled backend servers, up to which one of two drawn in
+ *              the own zone is chosen without a look at other zones; 0 to draw
+ *              over all zones
  * @stale_us: age at which a report counts half; 20 ms if 0
  * @seed: of the random choices
  * @previous: balance of an earlier snapshot to take learned state from, or
@@ -55,6 +58,7 @@
 	uint32_t service;
 	uint32_t zone_id;
 	double zone_penalty;
+	double local_most;
 	int64_t stale_us;
 	uint64_t seed;
 	const struct bb_balance *previous;
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -49,6 +49,8 @@
  * @probes: probe backend servers with few requests
  * @slot_searches: backend servers that a request asks for a free slot before it
  *                 waits for one
+ * @local_percent: load of backend servers up to which the own availability zone
+ *                 goes first, 0 for no preference but a penalty
  * @report_stale_ms: age at which a report of load counts half
  * @path_check_ms: time without a sign of life after which a host is asked before
  *                 a request is sent to it, 0 for never
@@ -90,6 +92,7 @@
 	uint32_t breaker;
 	uint32_t probes;
 	uint32_t slot_searches;
+	uint32_t local_percent;
 	uint32_t report_stale_ms;
 	uint32_t path_check_ms;
 	uint32_t path_floor;
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -38,6 +38,8 @@
  * @retry_window_us: see bb_retry_limits_of_fleet()
  * @slot_searches: backend servers that a call asks for a free slot before it
  *                 waits for one
+ * @local_percent: estimated load up to which the own zone goes first, 0 for no
+ *                 preference but the penalty of other zones
  * @report_stale_us: age at which a report of load counts half, 0 for the
  *                   default
  * @path_check_us: time without a sign of life after which a host is asked
@@ -63,6 +65,7 @@
 	uint32_t retry_slack;
 	int64_t retry_window_us;
 	uint32_t slot_searches;
+	uint32_t local_percent;
 	int64_t report_stale_us;
 	int64_t path_check_us;
 	bool keep_path_floor;
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -100,6 +100,7 @@
 			.zone_id = self == BB_NO_ROW ? UINT32_MAX :
 						       c->hosts[self].zone_id,
 			.zone_penalty = -1,
+			.local_most = e->o.local_percent / 100.0,
 			.stale_us = e->o.report_stale_us,
 			.seed = e->o.incarnation + i,
 			.previous =
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -86,6 +86,10 @@
 	{ "slot-searches", SETTING_NUMBER, AT(slot_searches), "0", 0, 8, "N",
 	  "backend servers that a request asks for a free slot before it waits "
 	  "for one" },
+	{ "local-percent", SETTING_NUMBER, AT(local_percent), "0", 0, 1000,
+	  "PERCENT",
+	  "load of backend servers up to which the own availability zone goes "
+	  "first, 0 for no preference but a penalty" },
 	{ "report-stale-ms", SETTING_NUMBER, AT(report_stale_ms), "20", 1,
 	  60000, "MS", "age at which a report of load counts half" },
 	{ "path-check-ms", SETTING_NUMBER, AT(path_check_ms), "0", 0, 60000,
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -60,6 +60,10 @@
 struct bb_balance {
 	struct member *members;
 	size_t members_nr;
+	/* Indexes of the members in the own zone. */
+	uint32_t *locals;
+	size_t locals_nr;
+	double local_most;
 	GHashTable *by_name;
 	double weight;
 	/* Some member may be marked as silent. */
@@ -169,7 +173,9 @@
 	m->in = row->state == BB_BACKEND_IN && row->weight > 0;
 	m->weight = m->in ? row->weight : 0;
 	m->path = take_path(o->previous, row->name);
-	if (host->zone_id != o->zone_id)
+	if (host->zone_id == o->zone_id)
+		b->locals[b->locals_nr++] = (uint32_t)(b->members_nr - 1);
+	else
 		m->penalty = o->zone_penalty < 0 ? DEFAULT_ZONE_PENALTY :
 						   o->zone_penalty;
 	b->weight += m->weight;
@@ -182,6 +188,8 @@
 	struct bb_balance *b = g_new0(struct bb_balance, 1);
 
 	b->members = g_new0(struct member, s->backends_nr);
+	b->locals = g_new0(uint32_t, s->backends_nr);
+	b->local_most = o->local_most;
 	b->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	b->floor_percent = s->floor_percent;
 	b->stale_us = o->stale_us ? o->stale_us : DEFAULT_STALE_US;
@@ -205,6 +213,7 @@
 	for (size_t i = 0; i < b->members_nr; i++)
 		path_unref(b->members[i].path);
 	g_free(b->members);
+	g_free(b->locals);
 	g_free(b);
 }
 
@@ -298,6 +307,23 @@
 	return (struct bb_choice){ m->backend, m->path };
 }
 
+/* The lower of two in the own zone, if its load is not above the limit. */
+static struct member *choose_local(struct bb_balance *b,
+				   const uint32_t *excluded, size_t excluded_nr,
+				   int64_t now_us)
+{
+	struct member *best = NULL;
+
+	for (int i = 0; i < 2 && b->locals_nr; i++) {
+		uint32_t at = b->locals[next_random(b) % b->locals_nr];
+		struct member *m = &b->members[at];
+
+		if (eligible(m, excluded, excluded_nr, false, now_us))
+			best = lower(b, best, m, now_us);
+	}
+	return best && score(b, best, now_us) <= b->local_most ? best : NULL;
+}
+
 struct bb_choice bb_balance_choose(struct bb_balance *b,
 				   const uint32_t *excluded, size_t excluded_nr,
 				   int64_t now_us)
@@ -308,6 +334,10 @@
 
 	if (!(b->weight > 0))
 		return none;
+	if (b->local_most > 0 && !excluded_nr)
+		first = choose_local(b, excluded, excluded_nr, now_us);
+	if (first)
+		return take(first);
 	for (int i = 0; i < DRAWS_MAX && !second; i++) {
 		struct member *m = draw(b);
 
--- a/src/test_lib/test_balance.cc
+++ b/src/test_lib/test_balance.cc
@@ -66,6 +66,35 @@
 }
 } // namespace
 
+// Guards against requests that leave the zone while it has room, and against a
+// full zone that keeps them.
+TEST(Balance, OwnZoneGoesFirstWhileItHasRoom)
+{
+	pool p(9);
+	struct bb_balance_options o = {};
+	struct bb_load load = {};
+	int local = 0;
+
+	o.config = &p.config;
+	o.zone_penalty = 0.25;
+	o.local_most = 0.8;
+	o.seed = 7;
+	struct bb_balance *b = bb_balance_new(&o);
+
+	for (int i = 0; i < 300; i++)
+		local += choose(b) % 3 == 0;
+	EXPECT_EQ(300, local);
+	load.in_flight = 4;
+	load.slots = 4;
+	for (uint32_t i = 0; i < 9; i += 3)
+		bb_balance_report(b, bb_balance_path(b, i), &load, 1);
+	local = 0;
+	for (int i = 0; i < 300; i++)
+		local += choose(b) % 3 == 0;
+	EXPECT_LT(local, 60);
+	bb_balance_delete(b);
+}
+
 // Guards against a backend server that gets work although it has no weight,
 // leaves, is out, excluded or hinted at, and against none being chosen while
 // one is eligible: random states against a plain list.
