--- a/include/baobabward/breaker.h
+++ b/include/baobabward/breaker.h
@@ -15,6 +15,7 @@
 #define BAOBABWARD_BREAKER_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -68,6 +69,20 @@
 void bb_breaker_failed(struct bb_breaker *b, int64_t started_us,
 		       int64_t now_us);
 
+/**
+ * bb_breaker_is_stalled() - whether running requests show that the backend
+ * server hangs, before their deadlines do.
+ * @ages_us: how long each has been running
+ * @nr: number of @ages_us
+ * @service_us: mean time for which a request runs
+ * @quiet_us: time since the last answer
+ *
+ * Return: true if several run for far longer than usual, or one does and
+ * nothing was answered meanwhile.
+ */
+bool bb_breaker_is_stalled(const int64_t *ages_us, size_t nr,
+			   int64_t service_us, int64_t quiet_us);
+
 /**
  * bb_breaker_open_us() - time for which entry nodes should choose others.
  *
--- a/src/libconfig/config_write.c
+++ b/src/libconfig/config_write.c
@@ -6,6 +6,11 @@
 
 void bb_config_write_string(GString *out, const char *s)
 {
+	/* A column that may be missing, in a comparison of documents. */
+	if (!s) {
+		g_string_append(out, "null");
+		return;
+	}
 	/* Validated text is printable ASCII; only two bytes need an escape. */
 	g_string_append_c(out, '"');
 	for (; *s; s++) {
--- a/src/libhealth/breaker.c
+++ b/src/libhealth/breaker.c
@@ -14,6 +14,25 @@
 /* A trial without an outcome no longer keeps others away after this time. */
 #define TRIAL_US (2 * BB_US_PER_S)
 
+/* Times the mean after which a running request counts as hanging; one in a
+ * hundred sound requests takes as long. */
+#define STALL_FACTOR 3
+/* Least such time, for backend servers that answer fast. */
+#define STALL_LEAST_US (500 * BB_US_PER_MS)
+
+bool bb_breaker_is_stalled(const int64_t *ages_us, size_t nr,
+			   int64_t service_us, int64_t quiet_us)
+{
+	int64_t limit_us = STALL_FACTOR * service_us;
+	size_t old = 0;
+
+	if (limit_us < STALL_LEAST_US)
+		limit_us = STALL_LEAST_US;
+	for (size_t i = 0; i < nr; i++)
+		old += ages_us[i] >= limit_us;
+	return old > 1 || (old && quiet_us >= limit_us);
+}
+
 static bool trial_runs(const struct bb_breaker *b, int64_t now_us)
 {
 	return b->trial && now_us - b->trial_us < TRIAL_US;
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -257,6 +257,19 @@
 	bb_control_observe(job->adjacent->o.control, o);
 }
 
+static void log_breaker(const struct backend_entry *e, uint32_t failures,
+			int64_t now_us)
+{
+	const struct bb_breaker *b = &e->breaker;
+
+	if (e->adjacent->o.breaker)
+		bb_log_event(BB_LOG_HEALTH, G_LOG_LEVEL_INFO, NULL,
+			     b->failures ? "breaker_opened" : "breaker_closed",
+			     "backend=%s failures=%u open_ms=%" G_GINT64_FORMAT,
+			     e->name, failures,
+			     bb_breaker_open_us(b, now_us) / BB_US_PER_MS);
+}
+
 /* What an outcome says of the backend server, apart from the caller. */
 static void note_breaker(struct bb_job *job, enum bb_outcome_kind kind,
 			 int64_t now_us)
@@ -267,6 +280,7 @@
 	switch (kind) {
 	case BB_OUTCOME_OK:
 	case BB_OUTCOME_CLIENT_ERROR:
+		job->backend->answered_us = now_us;
 		bb_breaker_succeeded(b, job->started_us);
 		break;
 	case BB_OUTCOME_ERROR:
@@ -278,12 +292,8 @@
 	default:
 		break;
 	}
-	if (job->adjacent->o.breaker && !failures != !b->failures)
-		bb_log_event(BB_LOG_HEALTH, G_LOG_LEVEL_INFO, NULL,
-			     b->failures ? "breaker_opened" : "breaker_closed",
-			     "backend=%s failures=%u open_ms=%" G_GINT64_FORMAT,
-			     job->backend->name, MAX(failures, b->failures),
-			     bb_breaker_open_us(b, now_us) / BB_US_PER_MS);
+	if (!failures != !b->failures)
+		log_breaker(job->backend, MAX(failures, b->failures), now_us);
 }
 
 static const struct bb_bytes *caller_request_id(const struct bb_job *job)
@@ -625,14 +635,44 @@
 	bb_adjacent_start_waiting(b);
 }
 
+/* Most running requests that are looked at for a hanging backend server. */
+#define RUNNING_MAX 64
+
+static void check_stalled(struct backend_entry *b, int64_t now_us)
+{
+	int64_t ages_us[RUNNING_MAX], oldest_us = 0;
+	size_t nr = 0;
+	GHashTableIter i;
+	gpointer value;
+
+	if (!b->adjacent->o.breaker || b->breaker.failures)
+		return;
+	g_hash_table_iter_init(&i, b->adjacent->jobs);
+	while (nr < RUNNING_MAX && g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct bb_job *job = value;
+
+		if (job->backend != b || !job->execution)
+			continue;
+		ages_us[nr] = now_us - job->started_us;
+		oldest_us = MAX(oldest_us, ages_us[nr++]);
+	}
+	if (!bb_breaker_is_stalled(ages_us, nr, bb_queue_service_us(b->queue),
+				   now_us - b->answered_us))
+		return;
+	bb_breaker_failed(&b->breaker, now_us - oldest_us, now_us);
+	log_breaker(b, b->breaker.failures, now_us);
+}
+
 static gboolean on_expire(gpointer data)
 {
 	struct bb_adjacent *a = data;
 	int64_t now_us = bb_clock_now_us();
 	GList *all = g_hash_table_get_values(a->backends);
 
-	for (GList *l = all; l; l = l->next)
+	for (GList *l = all; l; l = l->next) {
+		check_stalled(l->data, now_us);
 		bb_adjacent_start_waiting(l->data);
+	}
 	g_list_free(all);
 	bb_seen_expire(a->seen, now_us);
 	return G_SOURCE_CONTINUE;
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -23,6 +23,7 @@
 	GSource *wake;
 	uint32_t idle_connections;
 	struct bb_breaker breaker;
+	int64_t answered_us;
 	bool configured;
 };
 
--- a/src/test_lib/test_breaker.cc
+++ b/src/test_lib/test_breaker.cc
@@ -73,6 +73,21 @@
 	EXPECT_TRUE(bb_breaker_admit(&b, false, true, now));
 }
 
+// Guards against a backend server that hangs and shows it only at the deadlines
+// of the requests that it holds, and against one long request of a sound one.
+TEST(Breaker, HangingServerIsSeenEarly)
+{
+	const int64_t service = 400 * kMs;
+	const int64_t hanging[] = { 1200 * kMs, 1300 * kMs, 100 * kMs };
+	const int64_t tail[] = { 1300 * kMs, 300 * kMs, 100 * kMs };
+
+	EXPECT_TRUE(bb_breaker_is_stalled(hanging, 3, service, 50 * kMs));
+	EXPECT_FALSE(bb_breaker_is_stalled(tail, 3, service, 50 * kMs));
+	EXPECT_TRUE(bb_breaker_is_stalled(tail, 3, service, 1300 * kMs));
+	EXPECT_FALSE(bb_breaker_is_stalled(tail, 0, service, 9000 * kMs));
+	EXPECT_FALSE(bb_breaker_is_stalled(hanging + 2, 1, kMs, 9000 * kMs));
+}
+
 // Guards against requests that were sent before the first failure and end well
 // closing the breaker in the midst of a failing spell.
 TEST(Breaker, EarlierRequestsDoNotCloseIt)
