Measure service times of answers only

Cause: errors that come within 1 ms lowered the mean service time of a queue, so that it took in too much and sound requests looked hanging.

--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -349,7 +349,9 @@
 	note_breaker(job, outcome_kind(r), bb_clock_now_us());
 	observe(job, outcome_kind(r), r->latency_us, r->new_connection,
 		r->opened_us);
-	bb_queue_finish(b->queue, &job->entry, r->end != BB_EXECUTION_NOT_SENT,
+	/* Errors that come at once say nothing of how long requests run. */
+	bb_queue_finish(b->queue, &job->entry,
+			r->end == BB_EXECUTION_DONE && r->status < 500,
 			bb_clock_now_us());
 	set_result(&m, r);
 	bb_adjacent_hop_end(&job->hop, m.verdict, m.reason, r->status);
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -499,9 +499,10 @@
 	q->running--;
 	e->state = ENTRY_NONE;
 	a->active_us = now_us;
+	if (!measured)
+		return;
 	a->service_us = mean(a->service_us, took);
-	if (measured)
-		q->service_us = mean(q->service_us, took);
+	q->service_us = mean(q->service_us, took);
 }
 
 /* Hands back the late entries of one account; returns the earliest time at
