--- /dev/null
+++ b/src/test_lib/test_executor.cc
@@ -0,0 +1,191 @@
+// What the executor makes of answers, over real sockets.
+#include <arpa/inet.h>
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+
+extern "C" {
+#include "libnode/executor.h"
+}
+
+namespace
+{
+
+const struct bb_dialect kDialect = [] {
+	struct bb_dialect d = {};
+
+	d.deadline = "X-Deadline";
+	d.request_id = "X-Id";
+	d.backend_id = "X-Target";
+	d.not_executed = "X-Not-Run";
+	d.close_ends_body = true;
+	return d;
+}();
+
+// Answers one request with given bytes, then closes or resets the connection.
+struct Server {
+	int fd;
+	std::string url, request;
+	std::thread thread;
+
+	Server(const std::string &answer, bool reset)
+	{
+		struct sockaddr_in a = {};
+		socklen_t size = sizeof(a);
+
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, size));
+		EXPECT_EQ(0, listen(fd, 1));
+		getsockname(fd, (struct sockaddr *)&a, &size);
+		url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+		thread = std::thread([this, answer, reset] {
+			struct linger now = { 1, 0 };
+			char buffer[4096];
+			int c = accept(fd, nullptr, nullptr);
+
+			while (request.find("\r\n\r\n") == std::string::npos) {
+				ssize_t n = recv(c, buffer, sizeof(buffer), 0);
+
+				if (n <= 0)
+					break;
+				request.append(buffer, (size_t)n);
+			}
+			send(c, answer.data(), answer.size(), MSG_NOSIGNAL);
+			if (reset) {
+				usleep(50000);
+				setsockopt(c, SOL_SOCKET, SO_LINGER, &now,
+					   sizeof(now));
+			}
+			close(c);
+		});
+	}
+	~Server()
+	{
+		thread.join();
+		close(fd);
+	}
+};
+
+struct Result {
+	bool done = false;
+	enum bb_execution_end end = BB_EXECUTION_END_COUNT;
+	unsigned int status = 0;
+	std::string body;
+};
+
+Result execute(const std::string &answer, bool reset = false,
+	       const struct bb_dialect *dialect = &kDialect,
+	       std::string *request = nullptr)
+{
+	GMainContext *context = g_main_context_new();
+	struct bb_executor *e = bb_executor_new(context, nullptr);
+	struct bb_header id = { { "X-Id", 4 }, { "one", 3 } };
+	Result result;
+
+	{
+		Server s(answer, reset);
+		struct bb_execution_request r = {};
+
+		r.url = s.url.c_str();
+		r.target = { "/x", 2 };
+		r.method = { "GET", 3 };
+		r.headers = &id;
+		r.headers_nr = 1;
+		r.timeout_us = 10000000;
+		r.max_body = 100;
+		r.at_most_once = true;
+		r.dialect = dialect;
+		r.backend_id = "i-1";
+		bb_executor_start(
+			e, &r,
+			[](void *data, const struct bb_execution_result *x) {
+				auto *to = (Result *)data;
+
+				to->done = true;
+				to->end = x->end;
+				to->status = x->status;
+				to->body.assign(x->body.data ? x->body.data :
+							       "",
+						x->body.size);
+			},
+			&result, nullptr);
+		while (!result.done)
+			g_main_context_iteration(context, TRUE);
+		s.thread.join();
+		s.thread = std::thread([] {});
+		if (request)
+			*request = s.request;
+	}
+	bb_executor_delete(e);
+	g_main_context_unref(context);
+	return result;
+}
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nX-Id: one\r\n";
+
+} // namespace
+
+// Guards against a body that ends with its connection being thrown away where
+// that is its regular end, and against a reset one being passed on as whole.
+TEST(Executor, AnswersWithoutALength)
+{
+	const std::string head = kOk + "Connection: close\r\n\r\nbody";
+	Result closed = execute(head);
+
+	EXPECT_EQ(BB_EXECUTION_DONE, closed.end);
+	EXPECT_EQ("body", closed.body);
+	EXPECT_EQ(BB_EXECUTION_TRUNCATED, execute(head, true).end);
+	EXPECT_EQ(BB_EXECUTION_TRUNCATED, execute(head, false, nullptr).end);
+	EXPECT_EQ(BB_EXECUTION_TRUNCATED,
+		  execute(kOk + "Content-Length: 9\r\n\r\nbody").end);
+}
+
+// Guards against an answer to an earlier request that comes late and would be
+// passed on as the answer to this one.
+TEST(Executor, AnswerToAnotherRequest)
+{
+	EXPECT_EQ(BB_EXECUTION_FOREIGN,
+		  execute("HTTP/1.1 200 OK\r\nX-Id: two\r\n"
+			  "Content-Length: 0\r\n\r\n")
+			  .end);
+	EXPECT_EQ(BB_EXECUTION_DONE,
+		  execute(kOk + "Content-Length: 0\r\n\r\n").end);
+	EXPECT_EQ(BB_EXECUTION_DONE,
+		  execute("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").end);
+}
+
+// Guards against refusals that count as run, and against a plain 503, which may
+// have run, counting as a refusal.
+TEST(Executor, RefusalsOfTheBackendServer)
+{
+	const std::string length = "Content-Length: 0\r\n\r\n";
+	const std::string busy = "HTTP/1.1 503 Busy\r\n";
+
+	EXPECT_EQ(BB_EXECUTION_REFUSED,
+		  execute(busy + "X-Not-Run: 1\r\n" + length).end);
+	EXPECT_EQ(BB_EXECUTION_DONE, execute(busy + length).end);
+	EXPECT_EQ(BB_EXECUTION_MISDIRECTED,
+		  execute("HTTP/1.1 421 Misdirected Request\r\n" + length).end);
+	EXPECT_EQ(BB_EXECUTION_DONE,
+		  execute("HTTP/1.1 421 Misdirected Request\r\n" + length,
+			  false, nullptr)
+			  .end);
+}
+
+// Guards against a request that does not say which backend server it is for or
+// how much time is left.
+TEST(Executor, SendsTheDialectsHeaders)
+{
+	std::string request;
+
+	execute(kOk + "Content-Length: 0\r\n\r\n", false, &kDialect, &request);
+	EXPECT_NE(std::string::npos, request.find("X-Target: i-1\r\n"));
+	EXPECT_NE(std::string::npos, request.find("X-Deadline: 10000\r\n"));
+	EXPECT_NE(std::string::npos, request.find("X-Id: one\r\n"));
+}
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -145,6 +145,8 @@
 			return static_cast<Front *>(d)->current_;
 		};
 		o.submit = submit;
+		o.dialect = dialect_;
+		o.local_service = local_service_;
 		o.data = this;
 		front_ = bb_front_new(&o);
 		ASSERT_EQ(0, bb_front_init(front_, &err)) << err.message;
@@ -252,6 +254,8 @@
 
 	bool current_ = true;
 	bool full_ = false;
+	const struct bb_dialect *dialect_ = nullptr;
+	const char *local_service_ = nullptr;
 
       private:
 	static bool is_complete(const std::string &answer)
@@ -616,3 +620,70 @@
 	EXPECT_EQ("200 ran", ask("GET /bookings", KEY));
 	EXPECT_EQ(0u, last().route);
 }
+
+namespace
+{
+
+const struct bb_dialect kDialect = [] {
+	struct bb_dialect d = {};
+
+	d.key = "X-Key";
+	d.account = "X-Account";
+	d.tell_account = true;
+	d.deadline = "X-Deadline";
+	d.request_id = "X-Id";
+	d.caller_service = "X-Caller";
+	d.pass_host = true;
+	d.fractional_retry_after = true;
+	d.refuse_503 = true;
+	return d;
+}();
+
+} // namespace
+
+class FrontDialect : public Front
+{
+      protected:
+	void SetUp() override
+	{
+		Document d;
+		std::string open = "\"access\":\"open\"";
+
+		d.routes.replace(d.routes.find("/book/profile"), 13, "/free");
+		d.routes.replace(d.routes.find(open, d.routes.find("/free")),
+				 open.size(), "\"access\":\"public\"");
+		dialect_ = &kDialect;
+		local_service_ = "orders";
+		set_config(d);
+		start();
+	}
+};
+
+// Guards against a key that is passed on under another name, and against
+// callers who name the account or the service themselves.
+TEST_F(FrontDialect, NodeSetsItsOwnHeaders)
+{
+	EXPECT_EQ("200 ran", ask("GET /book", "X-Key: bbk_1\r\nX-Id: abc\r\n"
+					      "X-Account: account-2\r\n"
+					      "X-Caller: lookup\r\n"));
+	EXPECT_NE(std::string::npos,
+		  last().headers.find("X-Account=account-1;"));
+	EXPECT_NE(std::string::npos, last().headers.find("X-Caller=orders;"));
+	EXPECT_NE(std::string::npos, last().headers.find("X-Id=abc;"));
+	EXPECT_NE(std::string::npos, last().headers.find("Host=h;"));
+	EXPECT_EQ(std::string::npos, last().headers.find("bbk_1"));
+	EXPECT_EQ(std::string::npos, last().headers.find("account-2"));
+	EXPECT_EQ(std::string::npos, last().headers.find("lookup"));
+	EXPECT_EQ("401 not-run",
+		  ask("GET /book", "Authorization: Bearer bbk_1\r\n"));
+}
+
+// Guards against a public route that asks for a key, and against one that tells
+// backend servers an account that no key proved.
+TEST_F(FrontDialect, PublicRoutesNeedNoKey)
+{
+	EXPECT_EQ("200 ran", ask("GET /free/1", "X-Account: account-2\r\n"));
+	EXPECT_EQ(std::string::npos, last().headers.find("X-Account"));
+	EXPECT_EQ("200 ran", ask("GET /free/1", "X-Key: unknown\r\n"));
+	EXPECT_EQ("401 not-run", ask("GET /book", "X-Key: unknown\r\n"));
+}
