--- a/include/baobabward/metrics.h
+++ b/include/baobabward/metrics.h
@@ -85,6 +85,27 @@
  */
 uint64_t bb_metrics_refusals(enum bb_reason reason);
 
+/**
+ * enum bb_histogram - distributions of times.
+ * @BB_HISTOGRAM_ANSWER: from the arrival of a request to its answer, at the
+ *                       entry node
+ * @BB_HISTOGRAM_EXECUTION: of a request at a backend server beside this node
+ * @BB_HISTOGRAM_QUEUE: wait of a request for a slot of such a backend server
+ */
+enum bb_histogram {
+	BB_HISTOGRAM_ANSWER,
+	BB_HISTOGRAM_EXECUTION,
+	BB_HISTOGRAM_QUEUE,
+	BB_HISTOGRAM_COUNT
+};
+
+/**
+ * bb_metrics_observe() - count a time in a histogram; safe from any thread.
+ * @histogram: the histogram
+ * @us: microseconds; below 0 counts as 0
+ */
+void bb_metrics_observe(enum bb_histogram histogram, int64_t us);
+
 /**
  * bb_metrics_text() - all metrics in the Prometheus text format.
  *
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -4,6 +4,8 @@
 #include <ck_pr.h>
 #include <glib.h>
 
+#include "baobabward/clock.h"
+
 struct metric_description {
 	const char *name;
 	const char *type;
@@ -62,6 +64,27 @@
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
 	      "a description for each metric");
 
+static const struct metric_description histograms[] = {
+	{ "answer_seconds", "histogram",
+	  "Time from the arrival of a request to its answer." },
+	{ "execution_seconds", "histogram",
+	  "Time of a request at a backend server beside this node." },
+	{ "queue_seconds", "histogram",
+	  "Wait of a request for a slot of a backend server." },
+};
+
+static_assert(sizeof(histograms) / sizeof(*histograms) == BB_HISTOGRAM_COUNT,
+	      "a description for each histogram");
+
+/* Upper bounds of the buckets in milliseconds; the last one has none. */
+static const unsigned int bounds_ms[] = { 1,   2,   5,	  10,	20,   50,   100,
+					  200, 500, 1000, 2000, 5000, 10000 };
+
+#define BUCKETS (G_N_ELEMENTS(bounds_ms) + 1)
+
+static uint64_t buckets[BB_HISTOGRAM_COUNT][BUCKETS];
+static uint64_t sums_us[BB_HISTOGRAM_COUNT];
+
 static uint64_t values[BB_METRIC_COUNT];
 static uint64_t refusals[BB_REASON_COUNT];
 
@@ -90,6 +113,47 @@
 	return ck_pr_load_64(&refusals[reason]);
 }
 
+void bb_metrics_observe(enum bb_histogram histogram, int64_t us)
+{
+	size_t i = 0;
+
+	us = MAX(us, 0);
+	while (i < G_N_ELEMENTS(bounds_ms) &&
+	       us > (int64_t)bounds_ms[i] * BB_US_PER_MS)
+		i++;
+	ck_pr_inc_64(&buckets[histogram][i]);
+	ck_pr_add_64(&sums_us[histogram], (uint64_t)us);
+}
+
+static void append_histogram(GString *s, enum bb_histogram h)
+{
+	const char *name = histograms[h].name;
+	uint64_t count = 0;
+
+	g_string_append_printf(s,
+			       "# HELP baobabward_%s %s\n"
+			       "# TYPE baobabward_%s histogram\n",
+			       name, histograms[h].help, name);
+	for (size_t i = 0; i < BUCKETS; i++) {
+		count += ck_pr_load_64(&buckets[h][i]);
+		if (i < G_N_ELEMENTS(bounds_ms))
+			g_string_append_printf(
+				s,
+				"baobabward_%s_bucket{le=\"%u.%03u\"} "
+				"%" G_GUINT64_FORMAT "\n",
+				name, bounds_ms[i] / 1000, bounds_ms[i] % 1000,
+				count);
+	}
+	g_string_append_printf(s,
+			       "baobabward_%s_bucket{le=\"+Inf\"} "
+			       "%" G_GUINT64_FORMAT "\n"
+			       "baobabward_%s_sum %.6f\n"
+			       "baobabward_%s_count %" G_GUINT64_FORMAT "\n",
+			       name, count, name,
+			       (double)ck_pr_load_64(&sums_us[h]) / BB_US_PER_S,
+			       name, count);
+}
+
 char *bb_metrics_text(void)
 {
 	GString *s = g_string_new(NULL);
@@ -115,5 +179,7 @@
 			"%" G_GUINT64_FORMAT "\n",
 			bb_reason_string[i],
 			bb_metrics_refusals((enum bb_reason)i));
+	for (int h = 0; h < BB_HISTOGRAM_COUNT; h++)
+		append_histogram(s, (enum bb_histogram)h);
 	return g_string_free(s, FALSE);
 }
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -344,6 +344,9 @@
 	struct bb_request_id id = job->x.id;
 
 	log_execution(job, r);
+	bb_metrics_observe(BB_HISTOGRAM_EXECUTION, r->latency_us);
+	bb_metrics_observe(BB_HISTOGRAM_QUEUE,
+			   job->started_us - job->entry.pushed_us);
 	note_connection(job, r->end == BB_EXECUTION_DONE, r->new_connection);
 	note_closed_idle(b, r->closed_idle);
 	note_breaker(job, outcome_kind(r), bb_clock_now_us());
--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -139,6 +139,8 @@
 		bb_recent_add(recent, c);
 	}
 	log_answer(c);
+	bb_metrics_observe(BB_HISTOGRAM_ANSWER,
+			   bb_clock_now_us() - c->arrived_us);
 	rc = MHD_queue_response(c->connection, a->status, r);
 	MHD_destroy_response(r);
 	return rc;
--- a/src/libnode/daemon.c
+++ b/src/libnode/daemon.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "baobabward/log.h"
@@ -22,6 +23,18 @@
 	return rc ? BB_EXIT_INTERRUPTED : BB_EXIT_OK;
 }
 
+static void log_start(const struct bb_settings *settings)
+{
+	char *json = bb_settings_json(settings);
+
+	bb_log_event(BB_LOG_MAIN, G_LOG_LEVEL_INFO, NULL, "start",
+		     "version=%s listen=%s:%u operators=%s:%u", BB_VERSION,
+		     settings->listen, settings->port, settings->admin_listen,
+		     settings->admin_port);
+	bb_log_debug(BB_LOG_MAIN, "settings: %s", json);
+	free(json);
+}
+
 enum bb_exit bb_daemon_run(const struct bb_settings *settings,
 			   const struct bb_dialect *dialect,
 			   const struct bb_feed *feed)
@@ -34,6 +47,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	bb_log_init(settings->host, parse_level(settings->log_level));
 	curl_global_init(CURL_GLOBAL_ALL);
+	log_start(settings);
 	n = bb_node_new(settings);
 	if (dialect)
 		bb_node_set_dialect(n, dialect);
--- a/src/test_lib/test_core.cc
+++ b/src/test_lib/test_core.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <glib.h>
+#include <cstring>
 #include <set>
 #include <string>
 
@@ -49,3 +50,22 @@
 		std::string::npos,
 		s.find("baobabward_refused_total{reason=\"queue-full\"} 1\n"));
 }
+
+// Guards against a time in the wrong bucket, and against buckets that are not
+// sums over the ones below, as the text format asks.
+TEST(Metrics, HistogramsAreCumulative)
+{
+	char *text;
+
+	for (int64_t us :
+	     { INT64_C(-5), INT64_C(1000), INT64_C(1001), INT64_C(20000000) })
+		bb_metrics_observe(BB_HISTOGRAM_QUEUE, us);
+	text = bb_metrics_text();
+	for (const char *line : { "queue_seconds_bucket{le=\"0.001\"} 2\n",
+				  "queue_seconds_bucket{le=\"0.002\"} 3\n",
+				  "queue_seconds_bucket{le=\"10.000\"} 3\n",
+				  "queue_seconds_bucket{le=\"+Inf\"} 4\n",
+				  "queue_seconds_count 4\n" })
+		EXPECT_NE(nullptr, strstr(text, line)) << line;
+	g_free(text);
+}
