Keep keys and foreign fields out of the request field of logs

A caller's X-Request-Id was logged as it came: it could hold the key, which is refused as bad-request but was already noted as the request's name, or text that looks like other fields. Found on reading the diff; test_front has the case.

--- a/src/libcore/log.c
+++ b/src/libcore/log.c
@@ -118,6 +118,19 @@
 	g_free(quoted);
 }
 
+/* Callers choose it; nothing in it may look like another field. */
+static void append_request(char *line, const char *request)
+{
+	char *plain = g_strdup(request);
+
+	g_strcanon(plain,
+		   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+		   "0123456789.:-_",
+		   '_');
+	append(line, " request=%s", plain);
+	g_free(plain);
+}
+
 static void build_line(char *line, const char *stamp, GLogLevelFlags level,
 		       const GLogField *fields, gsize n)
 {
@@ -134,7 +147,7 @@
 	if (event)
 		append(line, " event=%s", event);
 	if (request)
-		append(line, " request=%s", request);
+		append_request(line, request);
 	if (event)
 		append(line, " %s", message ? message : "");
 	else
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -30,7 +30,7 @@
 /* An agreement that was seen by one of the last ticks counts as present. */
 #define AGREED_TICK_US (1 * BB_US_PER_S)
 /* A feed's reads are linearizable, so that its automation switch is agreed. */
-#define BB_FEED_AGREED_US (3600 * BB_US_PER_S)
+#define FEED_AGREED_US (3600 * BB_US_PER_S)
 #define IDLE_LINK_US (120 * BB_US_PER_S)
 
 /* Callbacks of the decision modules. */
@@ -138,7 +138,7 @@
 	struct bb_control *c = data;
 
 	if (c->o.feed)
-		return BB_FEED_AGREED_US;
+		return FEED_AGREED_US;
 	if (!c->agreed_since_us || now_us - c->agreed_at_us > BB_PERMIT_GAP_US)
 		return -1;
 	return now_us - c->agreed_since_us;
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -189,7 +189,6 @@
 		.least_us = ATTEMPT_LEAST_US,
 		.status = status,
 	};
-
 	uint32_t service = call_service(t);
 	uint32_t most = bb_call_route(t->call)->max_attempts;
 
@@ -269,8 +268,9 @@
 	if (may_retry(t, verdict, reason, 0)) {
 		t->redirects += is_redirect(verdict, reason);
 		bb_attempts_next(t);
-	} else
+	} else {
 		bb_attempts_refuse(t, t->worst_verdict, reason);
+	}
 }
 
 /* The other node did not answer; others may be reachable. */
--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -381,6 +381,16 @@
 		add_text(c, d->account, bb_call_account(c)->name);
 }
 
+/* The caller's name for the request goes to logs, where a key must not. */
+static void take_request_id(struct bb_call *c, const struct header_scan *s)
+{
+	const char *key = caller_key(s->dialect, s->key);
+
+	if (s->request_id && *s->request_id &&
+	    !(key && strstr(s->request_id, key)))
+		g_strlcpy(c->id, s->request_id, sizeof(c->id));
+}
+
 /* Checks that repeat on every request of a connection. */
 static enum bb_reason check_head(struct bb_front *f, struct bb_call *c)
 {
@@ -390,8 +400,7 @@
 	MHD_get_connection_values(c->connection, MHD_HEADER_KIND, scan_header,
 				  &s);
 	continue_trace(&s);
-	if (s.request_id && *s.request_id)
-		g_strlcpy(c->id, s.request_id, sizeof(c->id));
+	take_request_id(c, &s);
 	reason = check_framing(&s);
 	if (reason)
 		return reason;
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -687,3 +687,14 @@
 	EXPECT_EQ("200 ran", ask("GET /free/1", "X-Key: unknown\r\n"));
 	EXPECT_EQ("401 not-run", ask("GET /book", "X-Key: unknown\r\n"));
 }
+
+// Guards against a key in logs and problem bodies, under the caller's name for
+// the request.
+TEST_F(FrontDialect, RequestIdIsNoPlaceForAKey)
+{
+	std::string answer = send_raw(request(
+		"GET /book", "X-Key: bbk_1\r\nX-Id: see-bbk_1\r\n", ""));
+
+	EXPECT_EQ("400 not-run", status(answer));
+	EXPECT_EQ(std::string::npos, answer.find("bbk_1"));
+}
