--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -645,7 +645,8 @@
 
 static void check_stalled(struct backend_entry *b, int64_t now_us)
 {
-	int64_t ages_us[RUNNING_MAX], oldest_us = 0;
+	int64_t ages_us[RUNNING_MAX] = { 0 };
+	int64_t oldest_us = 0;
 	size_t nr = 0;
 	GHashTableIter i;
 	gpointer value;
@@ -659,7 +660,8 @@
 		if (job->backend != b || !job->execution)
 			continue;
 		ages_us[nr] = now_us - job->started_us;
-		oldest_us = MAX(oldest_us, ages_us[nr++]);
+		oldest_us = MAX(oldest_us, ages_us[nr]);
+		nr++;
 	}
 	if (!bb_breaker_is_stalled(ages_us, nr, bb_queue_service_us(b->queue),
 				   now_us - b->answered_us))
