Redirects do not count against the time of an attempt

Cause: attempt_time_us() compared all attempts of a call with the most that a request may load. Redirects load no backend server, so an idempotent call that was redirected twice gave its next attempt all of the time that was left, and no retry could follow a backend server that hangs.

test_entry plays the other nodes of one entry node. Before: 99.99 s of 100 s for the attempt after three redirects; now 50 s. The fixture is shared with test_entry_paths.

--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -339,10 +339,12 @@
 static int64_t attempt_time_us(const struct bb_attempts *t, int64_t now_us)
 {
 	int64_t left_us = t->call->deadline_us - now_us;
+	uint32_t loaded = t->nr - t->redirects;
 
 	if (t->state == ATTEMPT_WAITS_FOR_SESSION)
 		return MIN(left_us, HELLO_WAIT_US);
-	if (bb_call_route(t->call)->idempotent && t->nr < BB_RETRY_ATTEMPTS_MAX)
+	if (bb_call_route(t->call)->idempotent &&
+	    loaded < BB_RETRY_ATTEMPTS_MAX)
 		return left_us * t->entry->o.attempt_percent / 100;
 	return left_us;
 }
--- /dev/null
+++ b/src/test_lib/entry_fixture.h
@@ -0,0 +1,225 @@
+// An entry node among four others that the test plays.
+#ifndef TEST_LIB_ENTRY_FIXTURE_H
+#define TEST_LIB_ENTRY_FIXTURE_H
+
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <jansson.h>
+#include <microhttpd.h>
+
+#include <cstring>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "baobabward/clock.h"
+#include "config_fixture.h"
+
+extern "C" {
+#include "libnode/entry_private.h"
+}
+
+// What an EXECUTE said.
+struct Execute {
+	uint32_t host;
+	struct bb_request_id id;
+	uint64_t incarnation;
+	std::string backend;
+	bool may_wait;
+};
+
+// An entry node on host h0 of five; each host has one backend server.
+struct Entry {
+	struct bb_snapshots *snapshots = bb_snapshots_new("h0");
+	struct bb_sessions *sessions = bb_sessions_new();
+	std::map<uint32_t, int> hellos;
+	std::vector<Execute> executes;
+	struct bb_answer answer = {};
+	bool finished = false;
+	struct bb_entry *e;
+	int64_t now = 1000 * BB_US_PER_S;
+
+	explicit Entry(struct bb_entry_options o = {})
+	{
+		o.incarnation = 1;
+		o.sessions = sessions;
+		o.send = [](void *data, uint32_t host,
+			    const struct bb_message *m) {
+			((Entry *)data)->sent(host, m);
+			return true;
+		};
+		o.connected = [](void *, uint32_t) { return true; };
+		o.finished = [](void *data, struct bb_call *c) {
+			((Entry *)data)->answered(c);
+		};
+		o.data = this;
+		e = bb_entry_new(&o);
+		configure(1, { 0, 1, 2, 3, 4 });
+	}
+	~Entry()
+	{
+		bb_entry_delete(e);
+		bb_sessions_delete(sessions);
+		bb_snapshots_delete(snapshots);
+	}
+	// Rows of hosts and backend servers in this order.
+	void configure(int version, const std::vector<int> &order)
+	{
+		struct bb_snapshot *s;
+		Document d;
+
+		d.version = std::to_string(version);
+		d.hosts = d.backends = "";
+		for (int i : order) {
+			std::string n = std::to_string(i);
+
+			d.hosts += std::string(d.hosts.empty() ? "" : ",") +
+				   "{\"name\":\"h" + n +
+				   "\",\"region\":\"r\",\"zone\":\"z\","
+				   "\"address\":\"127.0.0.1\",\"data_port\":" +
+				   std::to_string(7000 + 2 * i) +
+				   ",\"control_port\":" +
+				   std::to_string(7001 + 2 * i) + "}";
+			d.backends +=
+				std::string(d.backends.empty() ? "" : ",") +
+				"{\"name\":\"o" + n + "\",\"host\":\"h" + n +
+				"\",\"service\":\"orders\",\"url\":"
+				"\"http://127.0.0.1:" +
+				std::to_string(8000 + i) +
+				"\",\"weight\":1,\"slots\":5,"
+				"\"max_connections\":9,\"state\":\"in\"}";
+		}
+		std::string json = d.json();
+		struct bb_error err = {};
+		struct bb_config *c =
+			bb_config_parse(json.data(), json.size(), &err);
+
+		ASSERT_NE(nullptr, c) << err.message;
+		ASSERT_TRUE(bb_snapshots_swap(snapshots, c));
+		s = bb_snapshots_get(snapshots);
+		bb_entry_configure(e, s);
+		bb_snapshot_put(s);
+	}
+	void sent(uint32_t host, const struct bb_message *m)
+	{
+		const struct bb_message_execute &x = m->execute;
+
+		if (m->type == BB_MESSAGE_HELLO)
+			hellos[host]++;
+		if (m->type == BB_MESSAGE_EXECUTE)
+			executes.push_back({ host,
+					     x.id,
+					     x.receiver_incarnation,
+					     { x.backend.data, x.backend.size },
+					     x.may_wait });
+	}
+	void answered(struct bb_call *c)
+	{
+		answer = c->answer;
+		finished = true;
+		bb_call_delete(c);
+	}
+	// A call on the route named @route, which ends in @timeout_us.
+	struct bb_attempts *submit(const char *route, int64_t timeout_us)
+	{
+		struct bb_call *c = bb_call_new(NULL, e->snapshot);
+
+		c->route = bb_config_find_route(e->snapshot->config, route,
+						strlen(route));
+		c->service = bb_call_route(c)->service;
+		c->method = g_strdup("GET");
+		c->target = g_strdup("/book");
+		c->deadline_us = bb_clock_now_us() + timeout_us;
+		g_snprintf(c->id, sizeof(c->id), "test");
+		bb_entry_submit(e, c);
+		return finished ? NULL : c->attempts;
+	}
+	// The other node of @host answers the last HELLO.
+	void welcome(uint32_t host)
+	{
+		struct bb_session *s = bb_sessions_find(
+			sessions, e->snapshot->config->hosts[host].name);
+		struct bb_message_welcome w = {};
+
+		w.nonce = s->nonce;
+		w.incarnation = 100 + host;
+		ASSERT_TRUE(bb_session_welcome(s, &w, bb_clock_now_us()));
+		bb_entry_welcome(e, host);
+	}
+	void welcome_all()
+	{
+		for (uint32_t i = 0; i < 5; i++) {
+			struct bb_message m;
+
+			if (i == e->snapshot->self)
+				continue;
+			bb_session_hello(
+				bb_sessions_find(
+					sessions,
+					e->snapshot->config->hosts[i].name),
+				1, 1, bb_clock_now_us(), &m);
+			welcome(i);
+		}
+	}
+	// The last EXECUTE did not run, for @reason.
+	void refuse_last(enum bb_reason reason)
+	{
+		struct bb_message_result r = {};
+
+		r.id = executes.back().id;
+		r.receiver_incarnation = executes.back().incarnation;
+		r.verdict = BB_VERDICT_NOT_RUN;
+		r.reason = reason;
+		bb_entry_result(e, &r);
+	}
+	uint32_t host(const std::string &name) const
+	{
+		return bb_config_find_host(e->snapshot->config, name.data(),
+					   name.size());
+	}
+	struct bb_balance *balance() const
+	{
+		return e->balances[bb_config_find_service(e->snapshot->config,
+							  "orders", 6)];
+	}
+	// Only other hosts' backend servers get requests.
+	void leave_own_host()
+	{
+		GHashTable *leaving = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+
+		g_hash_table_add(leaving, g_strdup("h0"));
+		bb_entry_set_leaving(e, leaving);
+	}
+	void silent(const std::string &name, int times = 2)
+	{
+		while (times--)
+			bb_entry_path_silent(e, host(name), now, now);
+	}
+	// Backend servers that get requests, as the entry side chooses.
+	std::set<std::string> chosen()
+	{
+		std::set<std::string> names;
+
+		bb_balance_filter_paths(balance(), e->paths, true, now);
+		for (int i = 0; i < 400; i++) {
+			auto c = bb_balance_choose(balance(), NULL, 0, now);
+
+			if (!c.path)
+				continue;
+			names.insert(
+				e->snapshot->config->backends[c.backend].name);
+			bb_path_end(c.path);
+		}
+		return names;
+	}
+	void run(int64_t us)
+	{
+		for (int64_t end = now + us; now < end;
+		     now += 20 * BB_US_PER_MS)
+			bb_entry_tick(e, now);
+	}
+};
+
+#endif
--- /dev/null
+++ b/src/test_lib/test_entry.cc
@@ -0,0 +1,171 @@
+// Attempts of a call at its entry node, with other nodes played by the test.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+#include "entry_fixture.h"
+
+namespace
+{
+
+struct bb_entry_options options()
+{
+	struct bb_entry_options o = {};
+
+	o.attempt_percent = 50;
+	o.slot_searches = 2;
+	return o;
+}
+
+// Time from now at which the present step of a call ends.
+int64_t step_us(const struct bb_attempts *t)
+{
+	return g_source_get_ready_time(t->timer) - g_get_monotonic_time();
+}
+
+constexpr int64_t TIMEOUT_US = 100 * BB_US_PER_S;
+
+} // namespace
+
+// Guards against an attempt that may use all of the time because redirects,
+// which loaded no backend server, counted as attempts.
+TEST(Entry, RedirectsLeaveTimeForAnotherAttempt)
+{
+	Entry x(options());
+	struct bb_attempts *t;
+
+	x.leave_own_host();
+	x.welcome_all();
+	t = x.submit("book-get", TIMEOUT_US);
+	for (int i = 0; i < 3; i++)
+		x.refuse_last(BB_REASON_EJECTED);
+	ASSERT_EQ(4u, x.executes.size());
+	EXPECT_GT(step_us(t), TIMEOUT_US * 49 / 100);
+	EXPECT_LT(step_us(t), TIMEOUT_US * 51 / 100);
+}
+
+// Guards against a second attempt of a request that must not be repeated.
+TEST(Entry, NonIdempotentAttemptMayUseAllOfTheTime)
+{
+	Entry x(options());
+
+	x.leave_own_host();
+	x.welcome_all();
+	EXPECT_GT(step_us(x.submit("book", TIMEOUT_US)), TIMEOUT_US * 99 / 100);
+}
+
+// Guards against a call that waits at a full backend server while another one
+// has a free slot, and against one that never settles for a queue.
+TEST(Entry, LooksForAFreeSlotBeforeItWaits)
+{
+	Entry x(options());
+	std::set<std::string> asked;
+
+	x.leave_own_host();
+	x.welcome_all();
+	x.submit("book", TIMEOUT_US);
+	for (int i = 0; i < 2; i++) {
+		EXPECT_FALSE(x.executes.back().may_wait);
+		asked.insert(x.executes.back().backend);
+		x.refuse_last(BB_REASON_QUEUE_FULL);
+	}
+	EXPECT_EQ(2u, asked.size());
+	ASSERT_EQ(3u, x.executes.size());
+	EXPECT_TRUE(x.executes.back().may_wait);
+	/* The budget allows one more; others would only add to the overload. */
+	x.refuse_last(BB_REASON_QUEUE_FULL);
+	ASSERT_EQ(4u, x.executes.size());
+	EXPECT_TRUE(x.executes.back().may_wait);
+	EXPECT_FALSE(x.finished);
+	x.refuse_last(BB_REASON_QUEUE_FULL);
+	EXPECT_TRUE(x.finished);
+	EXPECT_EQ(BB_VERDICT_NOT_RUN, x.answer.verdict);
+	EXPECT_EQ(503u, x.answer.status);
+}
+
+// Guards against a request that is risked on a path that may be cut.
+TEST(Entry, AsksASilentHostBeforeARequest)
+{
+	struct bb_entry_options o = options();
+	o.path_check_us = 500 * BB_US_PER_MS;
+	Entry x(o);
+	std::set<uint32_t> asked;
+
+	x.leave_own_host();
+	x.welcome_all();
+	for (uint32_t i = 1; i < 5; i++)
+		bb_sessions_find(x.sessions,
+				 x.e->snapshot->config->hosts[i].name)
+			->heard_us -= o.path_check_us;
+	x.submit("book", TIMEOUT_US);
+	EXPECT_TRUE(x.executes.empty());
+	ASSERT_EQ(1u, x.hellos.size());
+	x.welcome(x.hellos.begin()->first);
+	ASSERT_EQ(1u, x.executes.size());
+	EXPECT_EQ(x.hellos.begin()->first, x.executes.back().host);
+	EXPECT_EQ(100u + x.executes.back().host, x.executes.back().incarnation);
+}
+
+// Guards against a HELLO, and its round trip, before every request.
+TEST(Entry, SendsAtOnceToAHostThatWasHeard)
+{
+	struct bb_entry_options o = options();
+	o.path_check_us = 100 * BB_US_PER_S;
+	Entry x(o);
+
+	x.leave_own_host();
+	x.welcome_all();
+	x.submit("book", TIMEOUT_US);
+	EXPECT_EQ(1u, x.executes.size());
+	EXPECT_TRUE(x.hellos.empty());
+}
+
+// Guards against a path that is cut while a request is on its way and that
+// shows only at the deadline, with more requests sent meanwhile.
+TEST(Entry, UnansweredRequestMakesThePathSilent)
+{
+	Entry x(options());
+	struct bb_attempts *t;
+	uint32_t host;
+
+	x.leave_own_host();
+	x.welcome_all();
+	t = x.submit("book", TIMEOUT_US);
+	host = x.executes.back().host;
+	bb_entry_tick(x.e, t->sent_us + 200 * BB_US_PER_MS);
+	EXPECT_TRUE(x.hellos.empty());
+	for (int ms = 250; ms <= 700; ms += 20)
+		bb_entry_tick(x.e, t->sent_us + ms * BB_US_PER_MS);
+	EXPECT_GE(x.hellos[host], 2);
+	EXPECT_TRUE(bb_sessions_find(x.sessions,
+				     x.e->snapshot->config->hosts[host].name)
+			    ->silent);
+	/* It may have run: only its answer or its deadline ends it. */
+	EXPECT_FALSE(x.finished);
+	EXPECT_EQ(1u, x.executes.size());
+}
+
+// Guards against an idempotent request that waits for an answer that cannot
+// come, and against a repeat of one whose host still answers.
+TEST(Entry, IdempotentRequestLeavesASilentHost)
+{
+	Entry x(options());
+	struct bb_attempts *t;
+	int64_t sent_us;
+	uint32_t host;
+
+	x.leave_own_host();
+	x.welcome_all();
+	t = x.submit("book-get", TIMEOUT_US);
+	host = x.executes.back().host;
+	sent_us = t->sent_us;
+	for (int ms = 250; ms <= 400; ms += 20)
+		bb_entry_tick(x.e, sent_us + ms * BB_US_PER_MS);
+	x.welcome(host);
+	EXPECT_EQ(1u, x.executes.size());
+	for (int ms = 650; ms <= 1200 && x.executes.size() < 2; ms += 20)
+		bb_entry_tick(x.e, sent_us + ms * BB_US_PER_MS);
+	ASSERT_EQ(2u, x.executes.size());
+	EXPECT_NE(host, x.executes.back().host);
+}
--- a/src/test_lib/test_entry_paths.cc
+++ b/src/test_lib/test_entry_paths.cc
@@ -1,131 +1,14 @@
 // Silent nodes as the entry side sees them, on a driven clock.
-#include <glib.h>
 #include <gtest/gtest.h>
-#include <jansson.h>
-#include <microhttpd.h>
 
-#include <map>
 #include <set>
 #include <string>
 
-#include "baobabward/clock.h"
-#include "config_fixture.h"
-
-extern "C" {
-#include "libnode/entry_private.h"
-}
+#include "entry_fixture.h"
 
 namespace
 {
 
-// An entry node on host h0 of five; each host has one backend server.
-struct Entry {
-	struct bb_snapshots *snapshots = bb_snapshots_new("h0");
-	struct bb_sessions *sessions = bb_sessions_new();
-	std::map<uint32_t, int> hellos;
-	struct bb_entry *e;
-	int64_t now = 1000 * BB_US_PER_S;
-
-	Entry()
-	{
-		struct bb_entry_options o = {};
-
-		o.incarnation = 1;
-		o.sessions = sessions;
-		o.send = [](void *data, uint32_t host,
-			    const struct bb_message *m) {
-			if (m->type == BB_MESSAGE_HELLO)
-				((Entry *)data)->hellos[host]++;
-			return true;
-		};
-		o.data = this;
-		e = bb_entry_new(&o);
-		configure(1, { 0, 1, 2, 3, 4 });
-	}
-	~Entry()
-	{
-		bb_entry_delete(e);
-		bb_sessions_delete(sessions);
-		bb_snapshots_delete(snapshots);
-	}
-	// Rows of hosts and backend servers in this order.
-	void configure(int version, const std::vector<int> &order)
-	{
-		struct bb_snapshot *s;
-		Document d;
-
-		d.version = std::to_string(version);
-		d.hosts = d.backends = "";
-		for (int i : order) {
-			std::string n = std::to_string(i);
-
-			d.hosts += std::string(d.hosts.empty() ? "" : ",") +
-				   "{\"name\":\"h" + n +
-				   "\",\"region\":\"r\",\"zone\":\"z\","
-				   "\"address\":\"127.0.0.1\",\"data_port\":" +
-				   std::to_string(7000 + 2 * i) +
-				   ",\"control_port\":" +
-				   std::to_string(7001 + 2 * i) + "}";
-			d.backends +=
-				std::string(d.backends.empty() ? "" : ",") +
-				"{\"name\":\"o" + n + "\",\"host\":\"h" + n +
-				"\",\"service\":\"orders\",\"url\":"
-				"\"http://127.0.0.1:" +
-				std::to_string(8000 + i) +
-				"\",\"weight\":1,\"slots\":5,"
-				"\"max_connections\":9,\"state\":\"in\"}";
-		}
-		std::string json = d.json();
-		struct bb_error err = {};
-		struct bb_config *c =
-			bb_config_parse(json.data(), json.size(), &err);
-
-		ASSERT_NE(nullptr, c) << err.message;
-		ASSERT_TRUE(bb_snapshots_swap(snapshots, c));
-		s = bb_snapshots_get(snapshots);
-		bb_entry_configure(e, s);
-		bb_snapshot_put(s);
-	}
-	uint32_t host(const std::string &name) const
-	{
-		return bb_config_find_host(e->snapshot->config, name.data(),
-					   name.size());
-	}
-	struct bb_balance *balance() const
-	{
-		return e->balances[bb_config_find_service(e->snapshot->config,
-							  "orders", 6)];
-	}
-	void silent(const std::string &name, int times = 2)
-	{
-		while (times--)
-			bb_entry_path_silent(e, host(name), now, now);
-	}
-	// Backend servers that get requests, as the entry side chooses.
-	std::set<std::string> chosen()
-	{
-		std::set<std::string> names;
-
-		bb_balance_filter_paths(balance(), e->paths, true, now);
-		for (int i = 0; i < 400; i++) {
-			auto c = bb_balance_choose(balance(), NULL, 0, now);
-
-			if (!c.path)
-				continue;
-			names.insert(
-				e->snapshot->config->backends[c.backend].name);
-			bb_path_end(c.path);
-		}
-		return names;
-	}
-	void run(int64_t us)
-	{
-		for (int64_t end = now + us; now < end;
-		     now += 20 * BB_US_PER_MS)
-			bb_entry_tick(e, now);
-	}
-};
-
 using Names = std::set<std::string>;
 
 } // namespace
