--- a/include/baobabward/directory.h
+++ b/include/baobabward/directory.h
@@ -35,7 +35,6 @@
  * @slots: requests that it runs at once
  * @leaving: it gets no new work
  * @started_ms: wall time at which it started, as it says; orders the starts
- * @warm_ms: how much longer it is slow after its start
  */
 struct bb_directory_entry {
 	char *id;
@@ -45,7 +44,6 @@
 	uint32_t slots;
 	bool leaving;
 	int64_t started_ms;
-	uint32_t warm_ms;
 };
 
 /**
--- a/include/baobabward/log.h
+++ b/include/baobabward/log.h
@@ -60,11 +60,6 @@
 		  const char *request, const char *event, const char *format,
 		  ...) __attribute__((format(printf, 5, 6)));
 
-/**
- * bb_log_left_out() - number of lines that were not written so far.
- */
-uint64_t bb_log_left_out(void);
-
 #define bb_log_info(part, ...) bb_log(part, G_LOG_LEVEL_INFO, NULL, __VA_ARGS__)
 #define bb_log_warning(part, ...) \
 	bb_log(part, G_LOG_LEVEL_WARNING, NULL, __VA_ARGS__)
--- a/src/libconfig/config_index.c
+++ b/src/libconfig/config_index.c
@@ -243,31 +243,27 @@
 /* Parent of the roots of the routes with a host name. */
 #define HOST_ROOTS (BB_NO_ROW - 1)
 
-/* Root of the paths of a host name; 0 without one. */
-static uint32_t find_root(const struct bb_config *c, const char *host)
+/* Root of the paths of a host name in lower case; 0 without one. */
+static uint32_t find_root(const struct bb_config *c, const char *lower)
 {
-	uint32_t root;
-	char *lower;
+	return lower ? find_child(c, HOST_ROOTS, lower, strlen(lower)) : 0;
+}
 
-	if (!host)
-		return 0;
-	lower = g_ascii_strdown(host, -1);
-	root = find_child(c, HOST_ROOTS, lower, strlen(lower));
-	g_free(lower);
-	return root;
+static char *lower_name(const char *host)
+{
+	return host ? g_ascii_strdown(host, -1) : NULL;
 }
 
 static uint32_t get_root(struct bb_config *c, const char *host)
 {
-	uint32_t root = find_root(c, host);
-	char *lower;
-
-	if (root != BB_NO_ROW)
-		return root;
-	lower = g_ascii_strdown(host, -1);
-	root = add_child(c, HOST_ROOTS,
-			 g_string_chunk_insert_const(c->index->strings, lower),
-			 strlen(lower));
+	char *lower = lower_name(host);
+	uint32_t root = find_root(c, lower);
+
+	if (root == BB_NO_ROW)
+		root = add_child(c, HOST_ROOTS,
+				 g_string_chunk_insert_const(c->index->strings,
+							     lower),
+				 strlen(lower));
 	g_free(lower);
 	return root;
 }
@@ -344,8 +340,10 @@
 			       const char *path, unsigned int method,
 			       bool *path_known)
 {
-	uint32_t roots[] = { find_root(c, host), 0 };
+	char *lower = lower_name(host);
+	uint32_t roots[] = { find_root(c, lower), 0 };
 
+	g_free(lower);
 	*path_known = false;
 	if (path[0] != '/')
 		return BB_NO_ROW;
--- a/src/libcore/log.c
+++ b/src/libcore/log.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/metrics.h"
 
 const char *const bb_log_part_string[] = { "main",    "config",	 "front",
 					   "traffic", "backend", "member",
@@ -54,7 +55,6 @@
 static GMutex write_lock;
 static double line_tokens = LINES_BURST;
 static int64_t tokens_us;
-static uint64_t left_out;
 static uint64_t left_out_told;
 
 /* With the lock held. */
@@ -77,12 +77,13 @@
 	size_t size = strlen(text);
 
 	if (write(STDOUT_FILENO, text, size) != (ssize_t)size)
-		left_out++;
+		bb_metrics_add(BB_METRIC_LOG_LINES_LEFT_OUT, 1);
 }
 
 /* With the lock held. */
 static void tell_left_out(const char *stamp)
 {
+	uint64_t left_out = bb_metrics_get(BB_METRIC_LOG_LINES_LEFT_OUT);
 	char line[LINE_MAX_BYTES];
 
 	if (left_out == left_out_told)
@@ -168,7 +169,7 @@
 		return G_LOG_WRITER_HANDLED;
 	g_mutex_lock(&write_lock);
 	if (!take_line_token()) {
-		left_out++;
+		bb_metrics_add(BB_METRIC_LOG_LINES_LEFT_OUT, 1);
 		g_mutex_unlock(&write_lock);
 		return G_LOG_WRITER_HANDLED;
 	}
@@ -183,16 +184,6 @@
 	return G_LOG_WRITER_HANDLED;
 }
 
-uint64_t bb_log_left_out(void)
-{
-	uint64_t n;
-
-	g_mutex_lock(&write_lock);
-	n = left_out;
-	g_mutex_unlock(&write_lock);
-	return n;
-}
-
 void bb_log_init(const char *node, GLogLevelFlags level)
 {
 	int flags = fcntl(STDOUT_FILENO, F_GETFL);
@@ -205,10 +196,11 @@
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
-static void write_fields(enum bb_log_part part, GLogLevelFlags level,
-			 const char *request, const char *event,
-			 const char *message)
+static void write_formatted(enum bb_log_part part, GLogLevelFlags level,
+			    const char *request, const char *event,
+			    const char *format, va_list ap)
 {
+	char message[512];
 	const GLogField fields[] = {
 		{ "GLIB_DOMAIN", "baobabward", -1 },
 		{ "BB_PART", bb_log_part_string[part], -1 },
@@ -218,34 +210,29 @@
 		  -1 },
 	};
 
+	if (level > least_level)
+		return;
+	vsnprintf(message, sizeof(message), format, ap);
 	g_log_structured_array(level, fields, G_N_ELEMENTS(fields));
 }
 
 void bb_log(enum bb_log_part part, GLogLevelFlags level, const char *request,
 	    const char *format, ...)
 {
-	char sentence[512];
 	va_list ap;
 
-	if (level > least_level)
-		return;
 	va_start(ap, format);
-	vsnprintf(sentence, sizeof(sentence), format, ap);
+	write_formatted(part, level, request, NULL, format, ap);
 	va_end(ap);
-	write_fields(part, level, request, NULL, sentence);
 }
 
 void bb_log_event(enum bb_log_part part, GLogLevelFlags level,
 		  const char *request, const char *event, const char *format,
 		  ...)
 {
-	char pairs[512];
 	va_list ap;
 
-	if (level > least_level)
-		return;
 	va_start(ap, format);
-	vsnprintf(pairs, sizeof(pairs), format, ap);
+	write_formatted(part, level, request, event, format, ap);
 	va_end(ap);
-	write_fields(part, level, request, event, pairs);
 }
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -59,6 +59,8 @@
 	{ "draws_total", "counter", "Draws of rate limit tokens." },
 	{ "spans_lost_total", "counter",
 	  "Trace spans dropped because the export queue was full." },
+	{ "log_lines_left_out_total", "counter",
+	  "Log lines not written: over the rate, or the reader was slow." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/test_lib/test_connections.cc
+++ b/src/test_lib/test_connections.cc
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "listening_socket.h"
+
 extern "C" {
 #include "libnode/connections.h"
 #include "libnode/executor.h"
@@ -54,16 +56,7 @@
 
 	explicit Server(GMainContext *context) : context(context)
 	{
-		struct sockaddr_in a = {};
-		socklen_t size = sizeof(a);
-
-		a.sin_family = AF_INET;
-		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, size));
-		EXPECT_EQ(0, listen(fd, 16));
-		getsockname(fd, (struct sockaddr *)&a, &size);
-		url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+		fd = listening_socket(&url);
 		source = watch(fd, on_accept);
 	}
 	~Server()
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <thread>
 
+#include "listening_socket.h"
+
 extern "C" {
 #include "libnode/executor.h"
 }
@@ -34,16 +36,7 @@
 
 	Server(const std::string &answer, bool reset)
 	{
-		struct sockaddr_in a = {};
-		socklen_t size = sizeof(a);
-
-		a.sin_family = AF_INET;
-		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, size));
-		EXPECT_EQ(0, listen(fd, 1));
-		getsockname(fd, (struct sockaddr *)&a, &size);
-		url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+		fd = listening_socket(&url);
 		thread = std::thread([this, answer, reset] {
 			struct linger now = { 1, 0 };
 			char buffer[4096];
