--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -490,12 +490,13 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/* Settings are read at the start only. */
+/* Flags and variables are read at the start only; a feed watches its own. */
 static gboolean on_hangup(gpointer data)
 {
 	(void)data;
 	bb_log_info(BB_LOG_MAIN,
-		    "SIGHUP: settings take effect at the next start");
+		    "SIGHUP: flags and environment variables take effect "
+		    "at the next start");
 	return G_SOURCE_CONTINUE;
 }
 
