Hosts of a fleet that starts stay known to all of them

Cause: each node read a longer list of hosts every moment as the fleet started, chose its neighbours from the first short list and kept them, so that all nodes asked the first hosts and nobody asked the others.

Changed: a change of the list chooses the neighbours anew; they stand at the same distances in the list for all nodes, so that each host is asked by equally many; the interval follows the size of the fleet and the bound on the age; digests of a fleet with a feed hold up to 320 hosts. The platform's bound is 4 s.

--- a/src/bench/member_sim.h
+++ b/src/bench/member_sim.h
@@ -211,7 +211,10 @@
 		n->held = g_array_new(FALSE, FALSE, sizeof(struct sim_message));
 		n->naive.ran_us = g_new0(int64_t, nr);
 		n->naive.version = g_new0(uint64_t, nr);
-		sim_start(s, i, config);
+		/* A node that the list lacks starts with a longer one. */
+		n->down = i >= config->hosts_nr;
+		if (!n->down)
+			sim_start(s, i, config);
 		/* Nodes of a fleet are not started at the same moment. */
 		n->next_us += g_rand_int_range(s->rand, 0, 700000);
 	}
--- a/src/libmember/member.c
+++ b/src/libmember/member.c
@@ -1,5 +1,6 @@
 #include "baobabward/member.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "baobabward/clock.h"
@@ -26,6 +27,16 @@
  */
 #define OUTDATED_PART 2
 
+/*
+ * Evidence spreads like an epidemic, which takes ln N intervals to reach half
+ * of N nodes; after x more, (1 + x) exp(-x) of them still lack it. The bound on
+ * its age holds this many more, and a part of one for ages that are rounded up
+ * at each hop. The least interval is the time of some round trips between
+ * regions.
+ */
+#define SPREAD_INTERVALS 9.0
+#define INTERVAL_LEAST_US (100 * BB_US_PER_MS)
+
 size_t bb_member_quorum_size(size_t seats_nr)
 {
 	return (seats_nr * BB_QUORUM_PERCENT + 99) / 100;
@@ -127,10 +138,19 @@
 	m->o.send(m->o.data, p->host, &msg);
 }
 
+/* The wanted interval, or less if evidence would be too old at most nodes. */
+static int64_t interval_us(const struct bb_member *m)
+{
+	double spread = log(MAX(m->seats_nr, 1)) + SPREAD_INTERVALS;
+	int64_t most_us = (int64_t)((double)m->o.freshness_us / spread);
+
+	return MIN(m->o.interval_us, MAX(most_us, INTERVAL_LEAST_US));
+}
+
 int64_t bb_member_tick(struct bb_member *m, int64_t now_us)
 {
 	struct bb_neighbour *n;
-	int64_t interval = m->o.interval_us;
+	int64_t interval = interval_us(m);
 
 	bb_member_check_start(m, now_us);
 	if (now_us < m->next_us)
--- a/src/libmember/member_peers.c
+++ b/src/libmember/member_peers.c
@@ -1,5 +1,7 @@
 #include "libmember/member_private.h"
 
+#include <xxhash.h>
+
 #include "baobabward/clock.h"
 
 /* Unanswered requests after which a neighbour is replaced. */
@@ -15,6 +17,8 @@
  * would never ask each other.
  */
 #define ANY_SEAT_ONE_IN 4
+/* Distances that are tried for each neighbour; some lead to the same seat. */
+#define DISTANCES_PER_NEIGHBOUR 2
 /* Random draws before a seat that does not look alive is accepted. */
 #define DRAWS_MAX 16
 
@@ -27,12 +31,34 @@
 	return false;
 }
 
+/*
+ * Seat at the @k-th distance from this one. All nodes use the same distances,
+ * so that every seat is the neighbour of equally many: evidence of a seat that
+ * few ask directly would be old everywhere.
+ */
+static uint32_t seat_at_distance(const struct bb_member *m, uint64_t k)
+{
+	uint64_t distance = 1 + XXH64(&k, sizeof(k), 0) % (m->seats_nr - 1);
+
+	return (uint32_t)((m->self + distance) % m->seats_nr);
+}
+
 /* Another seat that is not a neighbour yet, or BB_NO_ROW. */
 static uint32_t choose_seat(struct bb_member *m, int64_t now_us)
 {
 	bool any = !g_rand_int_range(m->o.rand, 0, ANY_SEAT_ONE_IN);
 	uint32_t found = BB_NO_ROW;
 
+	for (uint64_t k = 0; m->self != BB_NO_ROW &&
+			     k < DISTANCES_PER_NEIGHBOUR * m->o.neighbours;
+	     k++) {
+		uint32_t seat = seat_at_distance(m, k);
+
+		if (is_neighbour(m, seat))
+			continue;
+		if (now_us - m->seats[seat].missed_us >= ROTATE_US)
+			return seat;
+	}
 	for (int i = 0; i < DRAWS_MAX; i++) {
 		uint32_t seat = (uint32_t)g_rand_int_range(m->o.rand, 0,
 							   (gint32)m->seats_nr);
@@ -41,7 +67,8 @@
 			continue;
 		if (any || bb_member_alive(m, seat, now_us))
 			return seat;
-		found = seat;
+		if (found == BB_NO_ROW)
+			found = seat;
 	}
 	return found;
 }
@@ -76,8 +103,10 @@
 	for (size_t i = m->neighbours_nr; i-- > 0;) {
 		const struct bb_neighbour *n = &m->neighbours[i];
 
-		if (n->misses >= MISSES_MAX)
-			drop_neighbour(m, i);
+		if (n->misses < MISSES_MAX)
+			continue;
+		m->seats[n->host].missed_us = now_us;
+		drop_neighbour(m, i);
 	}
 	if (now_us < m->rotate_us)
 		return;
--- a/src/libmember/member_private.h
+++ b/src/libmember/member_private.h
@@ -25,6 +25,7 @@
  *               a memory of what it had accepted before
  * @stopping_us: latest time at which it is known to have announced a planned
  *               stop
+ * @missed_us: latest time at which it was dropped as a silent neighbour
  */
 struct bb_seat {
 	int64_t ran_us;
@@ -32,6 +33,7 @@
 	int64_t serving_us;
 	int64_t starting_us;
 	int64_t stopping_us;
+	int64_t missed_us;
 };
 
 /**
--- a/src/libmember/member_seats.c
+++ b/src/libmember/member_seats.c
@@ -21,6 +21,7 @@
 		m->seats[i].serving_us = BB_MEMBER_NEVER;
 		m->seats[i].starting_us = BB_MEMBER_NEVER;
 		m->seats[i].stopping_us = BB_MEMBER_NEVER;
+		m->seats[i].missed_us = BB_MEMBER_NEVER;
 		if (!strcmp(config->hosts[i].name, m->name))
 			m->self = (uint32_t)i;
 	}
@@ -75,16 +76,8 @@
 
 static void move_peers(struct bb_member *m, const uint32_t *map)
 {
-	size_t kept = 0;
-
-	for (size_t i = 0; i < m->neighbours_nr; i++) {
-		struct bb_neighbour n = m->neighbours[i];
-
-		n.host = map[n.host];
-		if (n.host != BB_NO_ROW)
-			m->neighbours[kept++] = n;
-	}
-	m->neighbours_nr = kept;
+	/* Those of a short list would be asked by all, the others by none. */
+	m->neighbours_nr = 0;
 	for (size_t i = 0; i < BB_MEMBER_PENDING; i++) {
 		struct bb_pending *p = &m->pending[i];
 
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -29,6 +29,11 @@
 #define STATUS_INTERVAL_US (250 * BB_US_PER_MS)
 /* An agreement that was seen by one of the last ticks counts as present. */
 #define AGREED_TICK_US (1 * BB_US_PER_S)
+/*
+ * Seats in a digest where groups are held by rank: nodes must agree on who is
+ * alive, so that all of a fleet of this size fit in.
+ */
+#define FEED_DIGEST_ENTRIES 320
 /* A feed's reads are linearizable, so that its automation switch is agreed. */
 #define FEED_AGREED_US (3600 * BB_US_PER_S)
 #define IDLE_LINK_US (120 * BB_US_PER_S)
@@ -314,6 +319,7 @@
 		.prepare = prepare_peer,
 		.freshness_us = c->o.settings->freshness_ms * BB_US_PER_MS,
 		.trusted = c->o.feed != NULL,
+		.entries = c->o.feed ? FEED_DIGEST_ENTRIES : 0,
 		.data = c,
 	};
 
--- a/src/test_lib/test_member.cc
+++ b/src/test_lib/test_member.cc
@@ -84,6 +84,75 @@
 	EXPECT_EQ(200u, quorums(f.s, 0, 200));
 }
 
+// Share of the pairs of running nodes in which one looks dead to the other.
+static double wrongly_dead(struct sim *s)
+{
+	size_t dead = 0, all = 0;
+
+	for (int round = 0; round < 20; round++) {
+		sim_run(s, S / 4);
+		for (uint32_t i = 0; i < s->nr; i++) {
+			struct sim_node *n = &s->nodes[i];
+
+			for (uint32_t j = 0; j < s->nr; j++, all++)
+				dead += !bb_member_alive(n->m, j, sim_clock(n));
+		}
+	}
+	return (double)dead / (double)all;
+}
+
+// Guards against a short freshness bound with which nodes of a healthy fleet
+// look dead to each other, the more so the larger it is: they disagree on who
+// holds a group.
+TEST(Member, ShortFreshnessKeepsHealthyNodesAlive)
+{
+	for (uint32_t nr : { 22u, 101u, 300u }) {
+		struct bb_config *config = sim_config(1, 0, nr);
+		struct bb_member_options o = {};
+
+		o.freshness_us = 4 * S;
+		o.entries = 320;
+		o.trusted = true;
+		struct sim *s = sim_new(nr, 5, config, &o, false);
+
+		sim_run(s, 10 * S);
+		EXPECT_LT(wrongly_dead(s), 0.01) << nr << " nodes";
+		sim_delete(s);
+		sim_config_delete(config);
+	}
+}
+
+// Guards against neighbours that stay those of a short list: as a fleet starts,
+// each node reads a longer list of hosts every moment, and all nodes would go
+// on to ask the first ones only.
+TEST(Member, NeighboursFollowAListThatGrows)
+{
+	const uint32_t lists[] = { 12, 23, 44, 64, 86, 101 };
+	struct bb_config *configs[G_N_ELEMENTS(lists)];
+	struct bb_member_options o = {};
+	uint32_t started = lists[0];
+
+	o.freshness_us = 4 * S;
+	o.entries = 320;
+	o.trusted = true;
+	for (size_t k = 0; k < G_N_ELEMENTS(lists); k++)
+		configs[k] = sim_config(1, 0, lists[k]);
+	struct sim *s = sim_new(101, 5, configs[0], &o, false);
+
+	for (size_t k = 1; k < G_N_ELEMENTS(lists); k++) {
+		sim_run(s, S / 4);
+		for (uint32_t i = 0; i < started; i++)
+			sim_accept(&s->nodes[i], configs[k]);
+		for (; started < lists[k]; started++)
+			sim_start(s, started, configs[k]);
+	}
+	sim_run(s, 10 * S);
+	EXPECT_LT(wrongly_dead(s), 0.01);
+	sim_delete(s);
+	for (struct bb_config *c : configs)
+		sim_config_delete(c);
+}
+
 // Guards against a fleet that falls behind under heavy loss and then stays
 // without a quorum, because all ask at the ordinary rate again.
 TEST(Member, HeavyLossDoesNotCollapse)
