The table of the operators keeps all columns of client accounts

Cause: table export wrote no column for unlimited, ranked and priority, so that a table that was exported and built again lost them. The differential test WrittenTableGivesTheSameRows failed with two accounts that have them (a difference where none may be). Columns that have their default stay empty.

--- a/src/libconfig/config_internal.h
+++ b/src/libconfig/config_internal.h
@@ -173,6 +173,12 @@
 #define BB_QUOTE_SIZE 72
 
 /* Appends a value, or a row, as JSON. */
+/**
+ * bb_config_is_left_out() - whether a written row leaves out a column, since it
+ * is sparse and has its default.
+ */
+bool bb_config_is_left_out(const struct bb_column *column, const void *row);
+
 void bb_config_write_value(GString *out, const struct bb_config *c,
 			   const struct bb_column *column, const void *row);
 void bb_config_write_row(GString *out, const struct bb_config *c,
--- a/src/libconfig/config_write.c
+++ b/src/libconfig/config_write.c
@@ -133,10 +133,12 @@
 }
 
 /* Sparse columns have one of these kinds. */
-static bool has_default(const struct bb_column *column, const void *row)
+bool bb_config_is_left_out(const struct bb_column *column, const void *row)
 {
 	const void *field = (const char *)row + column->offset;
 
+	if (!column->sparse)
+		return false;
 	switch (column->kind) {
 	case BB_COLUMN_PATH:
 		return !strcmp(*(char *const *)field, BB_HEALTH_PATH_DEFAULT);
@@ -158,7 +160,7 @@
 	const struct bb_table_description *t = &bb_tables[table];
 
 	for (size_t i = 0; i < t->columns_nr; i++) {
-		if (t->columns[i].sparse && has_default(&t->columns[i], row))
+		if (bb_config_is_left_out(&t->columns[i], row))
 			continue;
 		g_string_append(out, i ? ",\"" : "{\"");
 		g_string_append(out, t->columns[i].name);
--- a/src/libconfig/table.c
+++ b/src/libconfig/table.c
@@ -19,11 +19,14 @@
 #define KINDS_NR G_N_ELEMENTS(kinds)
 
 /* Columns of the written table, in order. */
-static const char *const columns[] = {
-	"kind",	 "name",  "weight",	     "rate_per_s",
-	"burst", "host",  "service",	     "url",
-	"state", "slots", "max_connections", "key_hashes"
-};
+static const char *const columns[] = { "kind",	    "name",
+				       "weight",    "rate_per_s",
+				       "burst",	    "unlimited",
+				       "ranked",    "priority",
+				       "host",	    "service",
+				       "url",	    "state",
+				       "slots",	    "max_connections",
+				       "key_hashes" };
 
 /**
  * struct bb_table_sheet - rows of both kinds as JSON.
@@ -420,16 +423,17 @@
 		g_string_append_printf(out, "%s%s", i ? "," : "", columns[i]);
 	for (size_t k = 0; k < KINDS_NR; k++) {
 		for (size_t r = 0; r < bb_config_rows_nr(c, kinds[k]); r++) {
+			const void *row = bb_config_row(c, kinds[k], r);
+
 			g_string_append_printf(out, "\n%s", kind_string[k]);
 			for (size_t i = 1; i < G_N_ELEMENTS(columns); i++) {
 				const struct bb_column *column =
 					find_column(kinds[k], columns[i]);
 
 				g_string_append_c(out, ',');
-				if (column)
-					write_cell(out, c, column,
-						   bb_config_row(c, kinds[k],
-								 r));
+				if (column &&
+				    !bb_config_is_left_out(column, row))
+					write_cell(out, c, column, row);
 			}
 		}
 	}
--- a/src/test_lib/test_table.cc
+++ b/src/test_lib/test_table.cc
@@ -43,7 +43,12 @@
 	std::string why;
 
 	d.accounts += ",{\"name\":\"a,\\\"b\",\"rate_per_s\":0.1,\"burst\":1e3,"
-		      "\"weight\":3,\"key_hashes\":[]}," +
+		      "\"weight\":3,\"key_hashes\":[]},"
+		      "{\"name\":\"free\",\"rate_per_s\":1,\"burst\":1,"
+		      "\"weight\":1,\"unlimited\":true,\"key_hashes\":[]},"
+		      "{\"name\":\"urgent\",\"rate_per_s\":1,\"burst\":1,"
+		      "\"weight\":1,\"ranked\":true,\"priority\":2,"
+		      "\"key_hashes\":[]}," +
 		      account_row(3, 1);
 	d.accounts.insert(d.accounts.find("\"]}") + 1,
 			  ",\"" + hash_of("second") + "\"");
