Attempts and admission as modules without input and output

Cause: which backend server a request tries next, whether it may wait there, whether another attempt follows, and how long it may wait were decided inside entry.c and adjacent.c, between sockets and timers, where no load can be replayed.

Decisions are as before, but for a request whose last reason was a search and that finds no backend server: it is refused with that reason, not with none.

--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "baobabward/admission.h"
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
 #include "baobabward/metrics.h"
@@ -441,6 +442,10 @@
 			    const struct bb_message_execute *x,
 			    struct backend_entry *b, int64_t now_us)
 {
+	const struct bb_admission request = { x->idempotent, x->insist,
+					      x->may_wait };
+	bool breaker = a->o.breaker && a->snapshot->config->automation;
+
 	if (a->draining)
 		return BB_REASON_STOPPING;
 	if (!b || !b->configured)
@@ -453,12 +458,8 @@
 		return BB_REASON_DEADLINE;
 	if (x->not_after_us - now_us > BUDGET_MAX_US)
 		return BB_REASON_BAD_REQUEST;
-	if (!x->may_wait && !bb_queue_is_free(b->queue))
-		return BB_REASON_QUEUE_FULL;
-	if (a->o.breaker && a->snapshot->config->automation &&
-	    !bb_breaker_admit(&b->breaker, x->idempotent, x->insist, now_us))
-		return BB_REASON_EJECTED;
-	return BB_REASON_NONE;
+	return bb_admission_check(&request, b->queue,
+				  breaker ? &b->breaker : NULL, now_us);
 }
 
 static struct backend_entry *find_backend(struct bb_adjacent *a,
@@ -482,13 +483,6 @@
 	return i == BB_NO_ROW ? NULL : &c->accounts[i];
 }
 
-/*
- * Share of the useful wait that a request of each rank may use, in percent. In
- * overload the queue is short enough for those that wait, and what is less
- * urgent is turned away first.
- */
-static const int64_t wait_percent[] = { 100, 100, 60, 40 };
-
 /*
  * A request waits only as long as its answer can still come within the target
  * latency of its route; what would wait longer is refused at once.
@@ -498,25 +492,23 @@
 {
 	const struct bb_route *r = find_route(a, &job->x.route);
 	const struct bb_account *account;
-	int64_t useful_us;
-	uint32_t rank;
 
 	/*
 	 * Without a client account it is a call of a backend server, whose own
 	 * work is lost if the call is refused.
 	 */
-	if (!r || !r->target_latency_ms || !job->x.account.size)
+	if (!r || !job->x.account.size)
 		return;
-	/* The deadline is the end of the route's timeout, or earlier. */
-	useful_us = job->x.not_after_us - now_us;
-	if (r->timeout_ms > r->target_latency_ms)
-		useful_us -= (int64_t)(r->timeout_ms - r->target_latency_ms) *
-			     BB_US_PER_MS;
-	useful_us -= bb_queue_service_us(job->backend->queue);
 	account = find_account(a, &job->x.account);
-	rank = account && account->ranked ? account->priority : r->priority;
-	rank = MIN(rank, G_N_ELEMENTS(wait_percent) - 1);
-	job->entry.wait_most_us = MAX(1, useful_us * wait_percent[rank] / 100);
+	/* The deadline is the end of the route's timeout, or earlier. */
+	job->entry.wait_most_us = bb_admission_wait_us(&(struct bb_wait_rules){
+		.left_us = job->x.not_after_us - now_us,
+		.timeout_us = r->timeout_ms * BB_US_PER_MS,
+		.target_us = r->target_latency_ms * BB_US_PER_MS,
+		.service_us = bb_queue_service_us(job->backend->queue),
+		.rank = account && account->ranked ? account->priority :
+						     r->priority,
+	});
 }
 
 static void fill_entry(const struct bb_adjacent *a, struct bb_job *job,
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -8,8 +8,6 @@
 #include "baobabward/metrics.h"
 #include "libnode/loop.h"
 
-/* Least time that is worth another attempt. */
-#define ATTEMPT_LEAST_US (2 * BB_US_PER_MS)
 /* Time that the answer to a CANCEL may take after the deadline. */
 #define CANCEL_WAIT_US (200 * BB_US_PER_MS)
 /* Age after which a use renews a session, without waiting for it. */
@@ -92,43 +90,30 @@
 	return service == BB_NO_ROW ? NULL : t->entry->balances[service];
 }
 
-/* One that had no free slot may be chosen again to wait there. */
-static size_t list_excluded(const struct bb_attempts *t, uint32_t *excluded)
+static struct bb_attempt_rules rules(const struct bb_attempts *t)
 {
-	size_t nr = 0;
+	const struct bb_route *r = bb_call_route(t->call);
 
-	for (uint32_t i = 0; i < t->nr; i++)
-		if (!t->may_wait || !t->searched[i])
-			excluded[nr++] = t->tried[i];
-	return nr;
+	return (struct bb_attempt_rules){
+		.idempotent = r->idempotent,
+		.reached_most = r->max_attempts,
+		.slot_searches = t->entry->o.slot_searches,
+		.deadline_us = t->call->deadline_us,
+	};
 }
 
 static bool choose_backend(struct bb_attempts *t)
 {
 	struct bb_balance *b = call_balance(t);
+	struct bb_attempt_rules r = rules(t);
 	int64_t now_us = bb_clock_now_us();
-	uint32_t excluded[ATTEMPTS_MAX];
 	struct bb_choice choice;
-	size_t excluded_nr;
 
 	if (!b)
 		return false;
 	bb_balance_filter_paths(b, t->entry->paths, t->entry->o.keep_path_floor,
 				now_us);
-	t->insist = t->redirects - t->searches >= REDIRECTS_MAX;
-	t->may_wait = t->searches >= t->entry->o.slot_searches ||
-		      t->nr + 2 >= ATTEMPTS_MAX;
-	excluded_nr = list_excluded(t, excluded);
-	if (t->may_wait && t->searches)
-		choice = bb_balance_choose_least(b, excluded, excluded_nr,
-						 now_us);
-	else
-		choice = bb_balance_choose(b, excluded, excluded_nr, now_us);
-	if (choice.backend == BB_NO_ROW) {
-		/* What is left was redirected from, or asks to be avoided. */
-		t->insist = true;
-		choice = bb_balance_choose_any(b, now_us);
-	}
+	choice = bb_attempt_choose(&t->made, &r, b, now_us);
 	if (choice.backend == BB_NO_ROW)
 		return false;
 	t->backend = choice.backend;
@@ -152,8 +137,8 @@
 	x->not_after_us = t->not_after_us;
 	x->config_version = t->entry->snapshot->config->version;
 	x->idempotent = r->idempotent;
-	x->insist = t->insist;
-	x->may_wait = t->may_wait;
+	x->insist = t->made.insist;
+	x->may_wait = t->made.may_wait;
 	x->backend = (struct bb_bytes){ b->name, strlen(b->name) };
 	x->account = (struct bb_bytes){ account, strlen(account) };
 	x->route = (struct bb_bytes){ r->name, strlen(r->name) };
@@ -167,62 +152,16 @@
 		(struct bb_bytes){ (const char *)c->body->data, c->body->len };
 }
 
-/*
- * One attempt that may have run is enough for the call to have run, whatever
- * later attempts say.
- */
-static void note_verdict(struct bb_attempts *t, enum bb_verdict verdict)
-{
-	if (verdict == BB_VERDICT_RAN || t->worst_verdict == BB_VERDICT_NOT_RUN)
-		t->worst_verdict = verdict;
-}
-
-static bool may_retry(struct bb_attempts *t, enum bb_verdict verdict,
-		      enum bb_reason reason, unsigned int status)
+/* Whether another attempt follows; notes how the present one ended. */
+static bool again(struct bb_attempts *t, const struct bb_attempt_end *end)
 {
-	struct bb_retry_attempt a = {
-		.idempotent = bb_call_route(t->call)->idempotent,
-		.verdict = verdict,
-		.reason = reason,
-		.attempts = t->nr - t->redirects,
-		.deadline_us = t->call->deadline_us,
-		.least_us = ATTEMPT_LEAST_US,
-		.status = status,
-	};
+	struct bb_attempt_rules r = rules(t);
 	uint32_t service = call_service(t);
-	uint32_t most = bb_call_route(t->call)->max_attempts;
-
-	if (t->gone || t->nr >= ATTEMPTS_MAX || service == BB_NO_ROW ||
-	    (most && t->reached >= most))
-		return false;
-	return bb_retry_decide(&t->entry->budgets[service], &a,
-			       bb_clock_now_us()) == BB_RETRY_YES;
-}
+	bool over = t->gone || service == BB_NO_ROW;
 
-/* Whether a backend server may have got the request, run or not. */
-static bool may_have_reached(enum bb_verdict verdict, enum bb_reason reason)
-{
-	return verdict != BB_VERDICT_NOT_RUN ||
-	       reason == BB_REASON_BACKEND_REFUSED ||
-	       reason == BB_REASON_MISDIRECTED;
-}
-
-/* The backend server had no free slot; another one may have. */
-static bool is_search(const struct bb_attempts *t, enum bb_verdict verdict,
-		      enum bb_reason reason)
-{
-	return !t->may_wait && !t->gone && verdict == BB_VERDICT_NOT_RUN &&
-	       reason == BB_REASON_QUEUE_FULL &&
-	       t->call->deadline_us - bb_clock_now_us() > ATTEMPT_LEAST_US;
-}
-
-static bool is_redirect(enum bb_verdict verdict, enum bb_reason reason)
-{
-	return verdict == BB_VERDICT_NOT_RUN &&
-	       (reason == BB_REASON_EJECTED || reason == BB_REASON_LEAVING ||
-		reason == BB_REASON_STOPPING ||
-		reason == BB_REASON_UNKNOWN_BACKEND ||
-		reason == BB_REASON_PEER_SILENT);
+	return bb_attempt_again(&t->made, &r, end,
+				over ? NULL : &t->entry->budgets[service],
+				bb_clock_now_us());
 }
 
 /* Why an attempt did not give the answer. */
@@ -238,7 +177,7 @@
 		     "sent_ms_ago=%" G_GINT64_FORMAT
 		     " config=%" G_GUINT64_FORMAT "."
 		     "%" G_GUINT64_FORMAT,
-		     t->nr, t->call->backend ? t->call->backend : "-",
+		     t->made.nr, t->call->backend ? t->call->backend : "-",
 		     t->host == BB_NO_ROW ? "-" : c->hosts[t->host].name,
 		     bb_verdict_string[verdict], bb_reason_string[reason],
 		     (bb_clock_now_us() - t->sent_us) / BB_US_PER_MS,
@@ -248,29 +187,24 @@
 void bb_attempts_ended(struct bb_attempts *t, enum bb_verdict verdict,
 		       enum bb_reason reason)
 {
+	struct bb_attempt_end end = { .verdict = verdict };
+	struct bb_attempt_rules r = rules(t);
+	bool search;
+
 	end_path(t);
 	/* Only a caller that hung up cancels; else the time was up. */
 	if (reason == BB_REASON_CANCELLED && !t->gone)
 		reason = BB_REASON_DEADLINE;
-	if (is_search(t, verdict, reason)) {
-		t->searched[t->nr - 1] = true;
-		t->searches++;
-		t->redirects++;
-		bb_entry_hop_attempt_end(&t->hop, verdict, reason, 0);
-		bb_attempts_next(t);
-		return;
-	}
-	note_verdict(t, verdict);
-	t->reached += may_have_reached(verdict, reason);
+	end.reason = reason;
+	search = bb_attempt_is_search(&t->made, &r, &end, bb_clock_now_us());
 	bb_entry_hop_attempt_end(&t->hop, verdict, reason, 0);
-	log_attempt(t, verdict, reason);
+	if (!search || t->gone)
+		log_attempt(t, verdict, reason);
 	t->last_reason = reason;
-	if (may_retry(t, verdict, reason, 0)) {
-		t->redirects += is_redirect(verdict, reason);
+	if (again(t, &end))
 		bb_attempts_next(t);
-	} else {
-		bb_attempts_refuse(t, t->worst_verdict, reason);
-	}
+	else
+		bb_attempts_refuse(t, t->made.verdict, reason);
 }
 
 /* The other node did not answer; others may be reachable. */
@@ -339,12 +273,11 @@
 static int64_t attempt_time_us(const struct bb_attempts *t, int64_t now_us)
 {
 	int64_t left_us = t->call->deadline_us - now_us;
-	uint32_t loaded = t->nr - t->redirects;
 
 	if (t->state == ATTEMPT_WAITS_FOR_SESSION)
 		return MIN(left_us, HELLO_WAIT_US);
 	if (bb_call_route(t->call)->idempotent &&
-	    loaded < BB_RETRY_ATTEMPTS_MAX)
+	    bb_attempt_loaded(&t->made) < BB_RETRY_ATTEMPTS_MAX)
 		return left_us * t->entry->o.attempt_percent / 100;
 	return left_us;
 }
@@ -479,15 +412,14 @@
 
 	t->state = ATTEMPT_NONE;
 	if (!choose_backend(t)) {
-		bb_attempts_refuse(t, t->worst_verdict,
-				   t->nr ? t->last_reason :
-					   BB_REASON_NO_BACKEND);
+		bb_attempts_refuse(t, t->made.verdict,
+				   t->made.nr ? t->last_reason :
+						BB_REASON_NO_BACKEND);
 		return;
 	}
-	t->tried[t->nr++] = t->backend;
 	name = e->snapshot->config->backends[t->backend].name;
 	bb_entry_hop_attempt(&t->hop, t->call, name);
-	t->call->attempts_nr = t->nr;
+	t->call->attempts_nr = t->made.nr;
 	g_free(t->call->backend);
 	t->call->backend = g_strdup(name);
 	t->host = e->snapshot->config->backends[t->backend].host;
@@ -517,7 +449,7 @@
 		break;
 	case ATTEMPT_WAITS_FOR_TOKEN:
 	case ATTEMPT_WAITS_FOR_SESSION:
-		bb_attempts_refuse(t, t->worst_verdict, BB_REASON_CANCELLED);
+		bb_attempts_refuse(t, t->made.verdict, BB_REASON_CANCELLED);
 		break;
 	case ATTEMPT_WAITS_FOR_RECORD:
 		bb_attempts_give_up_record(t);
@@ -577,6 +509,7 @@
 void bb_entry_result(struct bb_entry *e, const struct bb_message_result *r)
 {
 	struct bb_attempts *t = NULL;
+	struct bb_attempt_end end = { r->verdict, r->reason, r->status };
 
 	if (r->id.incarnation == e->o.incarnation)
 		t = g_hash_table_lookup(e->attempts, &r->id.sequence);
@@ -613,15 +546,13 @@
 		bb_attempts_ended(t, r->verdict, r->reason);
 		return;
 	}
-	t->reached++;
 	bb_call_answer(t->call, r->status, r->headers, r->headers_nr, &r->body);
-	if (!may_retry(t, r->verdict, r->reason, r->status)) {
+	if (!again(t, &end)) {
 		bb_attempts_finish(t);
 		return;
 	}
 	t->answered = true;
 	end_path(t);
-	note_verdict(t, r->verdict);
 	bb_entry_hop_attempt_end(&t->hop, r->verdict, r->reason, r->status);
 	bb_attempts_next(t);
 }
@@ -693,9 +624,10 @@
 
 static void abort_remote(struct bb_attempts *t)
 {
-	if (t->state == ATTEMPT_SENT || t->state == ATTEMPT_CANCELLING)
-		note_verdict(t, BB_VERDICT_MAY_HAVE_RUN);
-	bb_attempts_refuse(t, t->worst_verdict, BB_REASON_STOPPING);
+	if ((t->state == ATTEMPT_SENT || t->state == ATTEMPT_CANCELLING) &&
+	    t->made.verdict == BB_VERDICT_NOT_RUN)
+		t->made.verdict = BB_VERDICT_MAY_HAVE_RUN;
+	bb_attempts_refuse(t, t->made.verdict, BB_REASON_STOPPING);
 }
 
 void bb_entry_abort(struct bb_entry *e)
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -22,9 +22,9 @@
 {
 	const struct bb_host *h;
 
-	for (uint32_t i = 0; i < t->nr; i++)
-		t->tried[i] = rebind_backend(t->tried[i], old, new);
-	if (!t->nr)
+	for (uint32_t i = 0; i < t->made.nr; i++)
+		t->made.tried[i] = rebind_backend(t->made.tried[i], old, new);
+	if (!t->made.nr)
 		return;
 	t->backend = rebind_backend(t->backend, old, new);
 	if (t->local || t->host == BB_NO_ROW)
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -6,6 +6,7 @@
 #ifndef BB_NODE_ENTRY_PRIVATE_H
 #define BB_NODE_ENTRY_PRIVATE_H
 
+#include "baobabward/attempt.h"
 #include "baobabward/balance.h"
 #include "baobabward/reserve.h"
 #include "baobabward/retry.h"
@@ -24,29 +25,11 @@
 	ATTEMPT_CANCELLING,
 };
 
-/* Most attempts of a call, redirects included. */
-#define ATTEMPTS_MAX 8
-/* Redirects after which a call insists on a backend server. */
-#define REDIRECTS_MAX 4
-
 struct bb_attempts {
 	struct bb_entry *entry;
 	struct bb_call *call;
 	enum attempt_state state;
-	uint32_t nr;
-	uint32_t tried[ATTEMPTS_MAX];
-	/* Of those: had no free slot. */
-	bool searched[ATTEMPTS_MAX];
-	/* Attempts that were redirected before they loaded a backend server. */
-	uint32_t redirects;
-	/* The present attempt goes to a backend server whose breaker is open. */
-	bool insist;
-	/* It may wait there; earlier ones only look for a free slot. */
-	bool may_wait;
-	/* Attempts that found no free slot. */
-	uint32_t searches;
-	/* Attempts that may have reached a backend server. */
-	uint32_t reached;
+	struct bb_attempts_made made;
 	struct bb_request_id id;
 	uint32_t host;
 	uint32_t backend;
@@ -59,7 +42,6 @@
 	bool gone;
 	bool recorded;
 	struct bb_request_id record_id;
-	enum bb_verdict worst_verdict;
 	enum bb_reason last_reason;
 	/* An earlier attempt was answered with an error, which is passed on if
 	 * no later one succeeds. */
--- /dev/null
+++ b/src/libroute/admission.c
@@ -0,0 +1,33 @@
+#include "baobabward/admission.h"
+
+#include <glib.h>
+
+/*
+ * Share of the useful wait that a request of each rank may use, in percent. In
+ * overload the queue is short enough for those that wait, and what is less
+ * urgent is turned away first.
+ */
+static const int64_t wait_percent[] = { 100, 100, 60, 40 };
+
+enum bb_reason bb_admission_check(const struct bb_admission *a,
+				  const struct bb_queue *q,
+				  struct bb_breaker *b, int64_t now_us)
+{
+	if (!a->may_wait && !bb_queue_is_free(q))
+		return BB_REASON_QUEUE_FULL;
+	if (b && !bb_breaker_admit(b, a->idempotent, a->insist, now_us))
+		return BB_REASON_EJECTED;
+	return BB_REASON_NONE;
+}
+
+int64_t bb_admission_wait_us(const struct bb_wait_rules *r)
+{
+	uint32_t rank = MIN(r->rank, G_N_ELEMENTS(wait_percent) - 1);
+	int64_t useful_us = r->left_us - r->service_us;
+
+	if (!r->target_us)
+		return 0;
+	if (r->timeout_us > r->target_us)
+		useful_us -= r->timeout_us - r->target_us;
+	return MAX(1, useful_us * wait_percent[rank] / 100);
+}
