Retries: use the slack, start without any; up to 16 attempts with redirects

Each of the 101 nodes could save one retry only, and lost what it earned beyond; a half of the remaining slack was kept for nodes that start anew. 523 others were refused after 8 attempts, redirects and searches in turn, with 2.8 s left.

A request makes up to 16 attempts.

FleetStaysWithinItsSlack has lost the argument for the window, which is gone.

--- a/include/baobabward/attempt.h
+++ b/include/baobabward/attempt.h
@@ -27,7 +27,7 @@
 #endif
 
 /* Most attempts of a request, redirects included. */
-#define BB_ATTEMPTS_MAX 8
+#define BB_ATTEMPTS_MAX 16
 
 /**
  * struct bb_attempt_rules - what bounds the attempts of a request.
--- a/include/baobabward/retry.h
+++ b/include/baobabward/retry.h
@@ -61,11 +61,13 @@
  * struct bb_retry_limits - what a budget earns; in thousandths of a retry.
  * @first_earns: for a first attempt
  * @saved_most: most that can be saved up, so that a burst stays small
+ * @saved_first: saved at the start of a node
  * @reserve_interval_us: time in which a quiet node gets one retry
  */
 struct bb_retry_limits {
 	int64_t first_earns;
 	int64_t saved_most;
+	int64_t saved_first;
 	int64_t reserve_interval_us;
 };
 
@@ -79,17 +81,14 @@
 /**
  * bb_retry_limits_of_fleet() - limits whose sum over all nodes is bounded.
  * @percent: share of the first attempts
- * @slack: retries beyond that share that the fleet may make in @window_us
- * @window_us: length of every window in which the sum is bounded
+ * @slack: retries beyond that share that the fleet may make at once
  * @hosts: number of nodes, at least 1
  *
- * Each node may save up one retry; half of the slack that this leaves is the
- * reserve, and the other half the margin for nodes that start anew.
+ * The nodes may together save up the slack, each one retry at least. They start
+ * without any, so that a restart of all adds nothing.
  */
 struct bb_retry_limits bb_retry_limits_of_fleet(uint32_t percent,
-						uint32_t slack,
-						int64_t window_us,
-						size_t hosts);
+						uint32_t slack, size_t hosts);
 
 /**
  * struct bb_retry_budget - budget of a node; shared by all its threads.
@@ -128,11 +127,13 @@
 };
 
 /**
- * bb_retry_budget_init() - start with a full reserve.
+ * bb_retry_budget_init() - start with what the limits give at first.
  * @b: budget
+ * @limits: copied
  * @now_us: current time
  */
-void bb_retry_budget_init(struct bb_retry_budget *b, int64_t now_us);
+void bb_retry_budget_init(struct bb_retry_budget *b,
+			  const struct bb_retry_limits *limits, int64_t now_us);
 
 /**
  * bb_retry_budget_first() - count a first attempt, which earns a tenth of a
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -40,9 +40,8 @@
  * @serve_stale: serve open routes also when the configuration is not known to
  *               be current
  * @retry_percent: share of first attempts that may be retried
- * @retry_slack: retries of the whole fleet beyond that share in
- *               @retry_window_s, 0 to bound each node alone
- * @retry_window_s: length of the windows of @retry_slack
+ * @retry_slack: retries beyond that share which the whole fleet may save up,
+ *               0 to bound each node alone
  * @attempt_percent: share of the time left that an attempt of an idempotent
  *                   request may use while another may follow
  * @breaker: redirect requests at once from backend servers that fail
@@ -87,7 +86,6 @@
 	uint32_t serve_stale;
 	uint32_t retry_percent;
 	uint32_t retry_slack;
-	uint32_t retry_window_s;
 	uint32_t attempt_percent;
 	uint32_t breaker;
 	uint32_t probes;
--- a/src/bench/bench_queue.c
+++ b/src/bench/bench_queue.c
@@ -399,12 +399,14 @@
 		if (s->s.queueing == QUEUE_FAIR)
 			v->q = bb_queue_new(&o);
 	}
+	const struct bb_retry_limits limits = bb_retry_limits_default();
+
 	for (int i = 0; i < ENTRIES; i++) {
 		struct bb_balance_options o = { .config = config,
 						.seed = seed + (uint64_t)i };
 
 		s->balance[i] = bb_balance_new(&o);
-		bb_retry_budget_init(&s->budget[i], 0);
+		bb_retry_budget_init(&s->budget[i], &limits, 0);
 	}
 	for (int i = 0; i < ACCOUNTS; i++) {
 		s->latency[i] = g_array_new(FALSE, FALSE, sizeof(int64_t));
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -33,9 +33,8 @@
  * @send: hands a message to the transport; false if it was certainly not sent
  * @connected: whether the transport has a connection to a host
  * @retry_percent: share of first attempts that may be retried
- * @retry_slack: retries of the whole fleet beyond that in @retry_window_us; 0
- *               to bound each node alone
- * @retry_window_us: see bb_retry_limits_of_fleet()
+ * @retry_slack: retries beyond that which the whole fleet may save up; 0 to
+ *               bound each node alone
  * @slot_searches: backend servers that a call asks for a free slot before it
  *                 waits for one
  * @local_percent: estimated load up to which the own zone goes first, 0 for no
@@ -63,7 +62,6 @@
 	bool (*connected)(void *data, uint32_t host);
 	uint32_t retry_percent;
 	uint32_t retry_slack;
-	int64_t retry_window_us;
 	uint32_t slot_searches;
 	uint32_t local_percent;
 	int64_t report_stale_us;
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -64,10 +64,8 @@
 	struct bb_retry_limits limits = bb_retry_limits_default();
 
 	if (e->o.retry_slack)
-		limits = bb_retry_limits_of_fleet(e->o.retry_percent,
-						  e->o.retry_slack,
-						  e->o.retry_window_us,
-						  c->hosts_nr);
+		limits = bb_retry_limits_of_fleet(
+			e->o.retry_percent, e->o.retry_slack, c->hosts_nr);
 	for (size_t i = 0; i < c->services_nr; i++) {
 		const char *name = c->services[i].name;
 		uint32_t was = BB_NO_ROW;
@@ -76,7 +74,8 @@
 			was = bb_config_find_service(old->config, name,
 						     strlen(name));
 		if (was == BB_NO_ROW)
-			bb_retry_budget_init(&next[i], bb_clock_now_us());
+			bb_retry_budget_init(&next[i], &limits,
+					     bb_clock_now_us());
 		else
 			next[i] = e->budgets[was];
 		next[i].limits = limits;
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -71,10 +71,8 @@
 	{ "retry-percent", SETTING_NUMBER, AT(retry_percent), "10", 0, 100,
 	  "PERCENT", "share of first attempts that may be retried" },
 	{ "retry-slack", SETTING_NUMBER, AT(retry_slack), "0", 0, 1000000, "N",
-	  "retries of the whole fleet beyond that share in a window, 0 to "
-	  "bound each node alone" },
-	{ "retry-window-s", SETTING_NUMBER, AT(retry_window_s), "10", 1, 3600,
-	  "S", "length of the windows of --retry-slack" },
+	  "retries beyond that share which the whole fleet may save up, 0 "
+	  "to bound each node alone" },
 	{ "attempt-percent", SETTING_NUMBER, AT(attempt_percent), "50", 1, 100,
 	  "PERCENT",
 	  "share of the time left that an attempt of an idempotent request "
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -334,7 +334,6 @@
 		.connected = is_connected,
 		.retry_percent = s->retry_percent,
 		.retry_slack = s->retry_slack,
-		.retry_window_us = s->retry_window_s * BB_US_PER_S,
 		.slot_searches = s->slot_searches,
 		.local_percent = s->local_percent,
 		.report_stale_us = s->report_stale_ms * BB_US_PER_MS,
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -18,30 +18,31 @@
 
 struct bb_retry_limits bb_retry_limits_default(void)
 {
-	return (struct bb_retry_limits){ FIRST_EARNS, BUDGET_MAX,
-					 RESERVE_INTERVAL_US };
+	return (struct bb_retry_limits){
+		.first_earns = FIRST_EARNS,
+		.saved_most = BUDGET_MAX,
+		.saved_first = BUDGET_MAX,
+		.reserve_interval_us = RESERVE_INTERVAL_US,
+	};
 }
 
 struct bb_retry_limits bb_retry_limits_of_fleet(uint32_t percent,
-						uint32_t slack,
-						int64_t window_us, size_t hosts)
+						uint32_t slack, size_t hosts)
 {
-	int64_t spare = (int64_t)slack - (int64_t)hosts;
-	struct bb_retry_limits l = {
+	int64_t share = (int64_t)slack * RETRY_COST / (int64_t)hosts;
+
+	return (struct bb_retry_limits){
 		.first_earns = (int64_t)percent * RETRY_COST / 100,
-		.saved_most = RETRY_COST,
+		.saved_most = share > RETRY_COST ? share : RETRY_COST,
 		.reserve_interval_us = INT64_MAX,
 	};
-
-	if (spare > 0)
-		l.reserve_interval_us = window_us * (int64_t)hosts * 2 / spare;
-	return l;
 }
 
-void bb_retry_budget_init(struct bb_retry_budget *b, int64_t now_us)
+void bb_retry_budget_init(struct bb_retry_budget *b,
+			  const struct bb_retry_limits *limits, int64_t now_us)
 {
-	b->limits = bb_retry_limits_default();
-	b->tokens = b->limits.saved_most;
+	b->limits = *limits;
+	b->tokens = limits->saved_first;
 	b->refilled_us = now_us;
 }
 
--- a/src/test_lib/test_retry.cc
+++ b/src/test_lib/test_retry.cc
@@ -91,6 +91,14 @@
 	return { true, BB_VERDICT_NOT_RUN, reason, 1, 1000000, 0, 0 };
 }
 
+// Budget of a node that counts alone, at time 0.
+static void init(struct bb_retry_budget *b)
+{
+	struct bb_retry_limits limits = bb_retry_limits_default();
+
+	bb_retry_budget_init(b, &limits, 0);
+}
+
 // Guards against a budget that lets a failing service get more than 10%
 // further requests, or that has no reserve for a quiet node.
 TEST(Retry, BudgetBoundsRetries)
@@ -99,7 +107,7 @@
 	struct bb_retry_attempt a = attempt(BB_REASON_BACKEND_CONNECT);
 	int retries = 0;
 
-	bb_retry_budget_init(&b, 0);
+	init(&b);
 	for (int i = 0; i < 1000; i++) {
 		bb_retry_budget_first(&b);
 		retries += bb_retry_decide(&b, &a, 0) == BB_RETRY_YES;
@@ -113,16 +121,13 @@
 	EXPECT_EQ(BB_RETRY_OVER_BUDGET, bb_retry_decide(&b, &a, 1000000));
 }
 
-// Guards against a fleet whose nodes together retry more than the platform
-// allows in a window: each may save one retry, and the reserve counts once.
+// Guards against a fleet whose nodes together save up more retries than the
+// platform allows beyond the share of first attempts.
 TEST(Retry, FleetStaysWithinItsSlack)
 {
-	const int64_t window = 10000000;
-
 	for (size_t hosts : { 1, 22, 29, 50 }) {
 		const uint32_t slack = 56;
-		auto limits =
-			bb_retry_limits_of_fleet(10, slack, window, hosts);
+		auto limits = bb_retry_limits_of_fleet(10, slack, hosts);
 		auto a = attempt(BB_REASON_BACKEND_CONNECT);
 		size_t retries = 0;
 
@@ -130,10 +135,9 @@
 		for (size_t h = 0; h < hosts; h++) {
 			struct bb_retry_budget b;
 
-			bb_retry_budget_init(&b, 0);
-			b.limits = limits;
+			bb_retry_budget_init(&b, &limits, 0);
 			b.tokens = limits.saved_most;
-			for (int64_t now = 0; now < window; now += 10000)
+			for (int64_t now = 0; now < 10000000; now += 10000)
 				retries += bb_retry_decide(&b, &a, now) ==
 					   BB_RETRY_YES;
 		}
@@ -142,6 +146,78 @@
 	}
 }
 
+namespace
+{
+
+/*
+ * Load pattern: backend servers shed a third of their requests for 9 s while
+ * their slots are free. 101 nodes with 560 requests a second; a request that is
+ * shed may be sent once more.
+ */
+struct Shedding {
+	static const size_t kHosts = 101;
+	struct bb_retry_limits limits =
+		bb_retry_limits_of_fleet(15, 156, kHosts);
+	std::vector<struct bb_retry_budget> budgets{ kHosts };
+	GRand *random = g_rand_new_with_seed(3);
+	int requests = 0, wanted = 0, retries = 0;
+
+	Shedding()
+	{
+		for (auto &b : budgets)
+			bb_retry_budget_init(&b, &limits, 0);
+	}
+	~Shedding()
+	{
+		g_rand_free(random);
+	}
+	void run(int64_t from_us, int64_t to_us, double shed)
+	{
+		auto a = attempt(BB_REASON_BACKEND_REFUSED);
+
+		a.deadline_us = INT64_MAX;
+		for (int64_t now = from_us; now < to_us; now += 1786) {
+			auto &b = budgets[(size_t)g_rand_int_range(random, 0,
+								   kHosts)];
+
+			requests++;
+			bb_retry_budget_first(&b);
+			if (g_rand_double(random) >= shed)
+				continue;
+			wanted++;
+			retries += bb_retry_decide(&b, &a, now) == BB_RETRY_YES;
+		}
+	}
+};
+
+} // namespace
+
+// Guards against a budget that is left unused while requests are turned away
+// for want of a retry, and against one that is exceeded.
+TEST(Retry, FleetUsesItsBudgetWhenServersShed)
+{
+	Shedding x;
+
+	x.run(0, 10000000, 0.01);
+	x.requests = x.wanted = x.retries = 0;
+	x.run(10000000, 19000000, 0.34);
+	RecordProperty("retries", x.retries);
+	EXPECT_GT(x.wanted, x.requests / 4);
+	EXPECT_LE(x.retries, x.requests * 15 / 100 + 156);
+	/* Nodes without need keep up to one each. */
+	EXPECT_GE(x.retries,
+		  x.requests * 15 / 100 + 156 - 2 * (int)Shedding::kHosts);
+}
+
+// Guards against a fleet that gets its slack anew when all nodes restart.
+TEST(Retry, RestartOfAllAddsNothing)
+{
+	Shedding x;
+
+	x.run(0, 1000000, 1);
+	EXPECT_LE(x.retries, x.requests * 15 / 100);
+}
+
 // Guards against retries after full queues using up what failures need, and
 // against redirects being refused because of them.
 TEST(Retry, FullQueuesUseHalfOfTheBudget)
@@ -152,7 +228,7 @@
 	struct bb_retry_attempt ejected = attempt(BB_REASON_EJECTED);
 	int n = 0;
 
-	bb_retry_budget_init(&b, 0);
+	init(&b);
 	for (int i = 0; i < 100; i++)
 		n += bb_retry_decide(&b, &full, 0) == BB_RETRY_YES;
 	EXPECT_EQ(3, n);
@@ -174,7 +250,7 @@
 
 	error.verdict = BB_VERDICT_RAN;
 	error.status = 500;
-	bb_retry_budget_init(&b, 0);
+	init(&b);
 	for (int i = 0; i < 100; i++)
 		n += bb_retry_decide(&b, &error, 0) == BB_RETRY_YES;
 	EXPECT_EQ(6, n);
@@ -188,7 +264,7 @@
 	std::vector<std::thread> threads;
 	int yes[4] = {};
 
-	bb_retry_budget_init(&b, 0);
+	init(&b);
 	for (int t = 0; t < 4; t++)
 		threads.emplace_back([&b, &yes, t] {
 			auto a = attempt(BB_REASON_BACKEND_CONNECT);
