--- a/include/baobabward/health.h
+++ b/include/baobabward/health.h
@@ -145,6 +145,7 @@
  *                if it may not; with @want the permit is asked for and renewed,
  *                without it is given back; bb_permits_until() fits
  * @data: passed to @permit_until
+ * @observe_only: backend servers become suspect but are never ejected
  * @trial_probes_only: no probes but in the trial state, for backend servers
  *                     whose health endpoint misleads
  */
@@ -153,6 +154,7 @@
 	int64_t (*permit_until)(void *data, const char *service,
 				const char *backend, bool want, int64_t now_us);
 	void *data;
+	bool observe_only;
 	bool trial_probes_only;
 };
 
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -45,6 +45,7 @@
  * @attempt_percent: share of the time left that an attempt of an idempotent
  *                   request may use while another may follow
  * @breaker: redirect requests at once from backend servers that fail
+ * @ejections: eject backend servers
  * @probes: probe backend servers with few requests
  * @slot_searches: backend servers that a request asks for a free slot before it
  *                 waits for one
@@ -88,6 +89,7 @@
 	uint32_t retry_slack;
 	uint32_t attempt_percent;
 	uint32_t breaker;
+	uint32_t ejections;
 	uint32_t probes;
 	uint32_t slot_searches;
 	uint32_t local_percent;
--- a/src/bench/health_model.h
+++ b/src/bench/health_model.h
@@ -124,8 +124,8 @@
 		bb_health_set_config(m->nodes[i].h, &m->config, m->now_us);
 }
 
-static inline void model_init(struct model *m, size_t nr, double rate,
-			      uint32_t seed)
+static inline void model_init_as(struct model *m, size_t nr, double rate,
+				 uint32_t seed, bool observe_only)
 {
 	memset(m, 0, sizeof(*m));
 	m->rand = g_rand_new_with_seed(seed);
@@ -166,11 +166,18 @@
 		o.host = (uint32_t)i;
 		o.permit_until = model_permit;
 		o.data = &m->nodes[i];
+		o.observe_only = observe_only;
 		m->nodes[i].h = bb_health_new(&o);
 	}
 	model_set_config(m);
 }
 
+static inline void model_init(struct model *m, size_t nr, double rate,
+			      uint32_t seed)
+{
+	model_init_as(m, nr, rate, seed, false);
+}
+
 static inline void model_finish(struct model *m)
 {
 	for (size_t i = 0; i < m->nr; i++)
--- a/src/libhealth/health.c
+++ b/src/libhealth/health.c
@@ -524,7 +524,7 @@
 		b->reason[0] = '\0';
 		return;
 	}
-	if (!confirmed(b, &r, now_us))
+	if (h->options.observe_only || !confirmed(b, &r, now_us))
 		return;
 	if (!h->automation) {
 		bb_health_record_would(h, b, BB_HEALTH_EJECTED, now_us);
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -404,6 +404,7 @@
 		.context = c->o.context,
 		.gated = c->o.gated,
 		.data = c->o.data,
+		.observe_only = !c->o.settings->ejections,
 		.trial_probes_only = !c->o.settings->probes,
 		.send = bb_control_send,
 		.send_data = c,
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -79,6 +79,8 @@
 	  "may use while another may follow" },
 	{ "breaker", SETTING_NUMBER, AT(breaker), "0", 0, 1, "0|1",
 	  "redirect requests at once from backend servers that fail" },
+	{ "ejections", SETTING_NUMBER, AT(ejections), "1", 0, 1, "0|1",
+	  "eject backend servers; 0 leaves failing ones to the breaker" },
 	{ "probes", SETTING_NUMBER, AT(probes), "1", 0, 1, "0|1",
 	  "probe backend servers that have few requests" },
 	{ "slot-searches", SETTING_NUMBER, AT(slot_searches), "0", 0, 8, "N",
--- a/src/libnode/watch.c
+++ b/src/libnode/watch.c
@@ -76,6 +76,7 @@
 		.host = snapshot->self,
 		.permit_until = bb_permits_until,
 		.data = w->o.permits,
+		.observe_only = w->o.observe_only,
 		.trial_probes_only = w->o.trial_probes_only,
 	};
 
--- a/src/libnode/watch.h
+++ b/src/libnode/watch.h
@@ -20,6 +20,7 @@
  * @permits: of this node
  * @gated: takes over a change
  * @data: passed to @gated
+ * @observe_only: see struct bb_health_options
  * @trial_probes_only: see struct bb_health_options
  * @send: sends questions for and answers with pool summaries
  * @send_data: passed to @send
@@ -29,6 +30,7 @@
 	struct bb_permits *permits;
 	void (*gated)(void *data, struct bb_gate *g);
 	void *data;
+	bool observe_only;
 	bool trial_probes_only;
 	bb_send_fn *send;
 	void *send_data;
--- a/src/test_lib/test_health.cc
+++ b/src/test_lib/test_health.cc
@@ -17,9 +17,10 @@
 	std::vector<bool> out;
 	bool states[BB_HEALTH_STATE_COUNT] = {}; // of backend server 0
 
-	Pool(size_t nr, double rate, uint32_t seed) : ejections(nr), out(nr)
+	Pool(size_t nr, double rate, uint32_t seed, bool observe_only = false)
+	    : ejections(nr), out(nr)
 	{
-		model_init(m.get(), nr, rate, seed);
+		model_init_as(m.get(), nr, rate, seed, observe_only);
 	}
 	~Pool()
 	{
@@ -267,6 +268,20 @@
 	EXPECT_TRUE(dead.reach(BB_HEALTH_EJECTED, 10));
 }
 
+// Guards against ejections, or permits held for them, where the breaker alone
+// is to keep requests from failing backend servers.
+TEST(Health, ObserverEjectsNothing)
+{
+	Pool p(5, 20, 3, true);
+
+	p.run(10);
+	p.begin(FAULT_DEAD);
+	p.run(60);
+	EXPECT_TRUE(p.states[BB_HEALTH_SUSPECT]);
+	EXPECT_EQ(0, p.ejections[0]);
+	EXPECT_FALSE(p.m->nodes[0].permit);
+}
+
 // Guards against full load right after an ejection, and against a hold-off
 // that does not grow for a backend server that keeps failing.
 TEST(Health, TrialsHoldOffAndRamp)
