A planned stop just after a change of the hosts is announced

Cause: found on reading the change. Neighbours are dropped when the list of hosts changes and chosen again with the next request; a node that stopped in between told nobody. A stop chooses the missing neighbours first.

Beside it: the budget of retries does not divide by the number of hosts when the list is empty.

--- a/include/baobabward/member.h
+++ b/include/baobabward/member.h
@@ -175,10 +175,11 @@
 /**
  * bb_member_stop() - announce a planned stop of this node.
  * @m: membership
+ * @now_us: current time
  *
  * Sends a notice to the neighbours; all later digests repeat it.
  */
-void bb_member_stop(struct bb_member *m);
+void bb_member_stop(struct bb_member *m, int64_t now_us);
 
 /**
  * bb_member_in_force() - the candidate became the configuration in force.
--- a/src/libmember/member.c
+++ b/src/libmember/member.c
@@ -266,8 +266,10 @@
 			MAX(m->read_until_us, asked_us + m->o.freshness_us);
 }
 
-void bb_member_stop(struct bb_member *m)
+void bb_member_stop(struct bb_member *m, int64_t now_us)
 {
+	/* The list of seats may have changed since the last request. */
+	bb_member_fill_neighbours(m, now_us);
 	m->stopping = true;
 	bb_member_build_digest(m, 0, 0, 0);
 	for (size_t i = 0; i < m->neighbours_nr; i++)
--- a/src/libmember/member_peers.c
+++ b/src/libmember/member_peers.c
@@ -73,7 +73,7 @@
 	return found;
 }
 
-static void fill_neighbours(struct bb_member *m, int64_t now_us)
+void bb_member_fill_neighbours(struct bb_member *m, int64_t now_us)
 {
 	size_t others = m->seats_nr - (m->self != BB_NO_ROW);
 	size_t wanted = MIN(m->o.neighbours, others);
@@ -121,7 +121,7 @@
 					      int64_t now_us)
 {
 	drop_neighbours(m, now_us);
-	fill_neighbours(m, now_us);
+	bb_member_fill_neighbours(m, now_us);
 	if (!m->neighbours_nr)
 		return NULL;
 	m->turn = (m->turn + 1) % m->neighbours_nr;
--- a/src/libmember/member_private.h
+++ b/src/libmember/member_private.h
@@ -211,6 +211,13 @@
  */
 void bb_member_check_start(struct bb_member *m, int64_t now_us);
 
+/**
+ * bb_member_fill_neighbours() - choose the neighbours that are missing.
+ * @m: membership
+ * @now_us: current time
+ */
+void bb_member_fill_neighbours(struct bb_member *m, int64_t now_us);
+
 /**
  * bb_member_next_neighbour() - peer to ask now; replaces silent neighbours.
  * @m: membership
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -576,7 +576,7 @@
 	if (!c->started || c->stop_us)
 		return;
 	c->stop_us = now_us;
-	bb_member_stop(c->member);
+	bb_member_stop(c->member, now_us);
 	bb_drawer_return(c->drawer, now_us);
 	hand_over_records(c, now_us);
 }
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -64,8 +64,9 @@
 	struct bb_retry_limits limits = bb_retry_limits_default();
 
 	if (e->o.retry_slack)
-		limits = bb_retry_limits_of_fleet(
-			e->o.retry_percent, e->o.retry_slack, c->hosts_nr);
+		limits = bb_retry_limits_of_fleet(e->o.retry_percent,
+						  e->o.retry_slack,
+						  MAX(1, c->hosts_nr));
 	for (size_t i = 0; i < c->services_nr; i++) {
 		const char *name = c->services[i].name;
 		uint32_t was = BB_NO_ROW;
--- a/src/test_lib/test_member.cc
+++ b/src/test_lib/test_member.cc
@@ -336,7 +336,7 @@
 	uint32_t seen = 0;
 
 	run(f.s, 10 * S);
-	bb_member_stop(f.s->nodes[5].m);
+	bb_member_stop(f.s->nodes[5].m, sim_clock(&f.s->nodes[5]));
 	run(f.s, 8 * S);
 	for (uint32_t i = 6; i < 60; i++)
 		seen += bb_member_stopping(f.s->nodes[i].m, 5);
@@ -349,6 +349,29 @@
 		EXPECT_FALSE(bb_member_stopping(f.s->nodes[i].m, 5)) << i;
 }
 
+// Guards against a planned stop of which nobody hears, because it comes just
+// after a change of the list of hosts, and the node ends at once.
+TEST(Member, PlannedStopAfterAChangeIsAnnounced)
+{
+	Fleet f(60, 8);
+	struct bb_config *fewer = sim_config(2, 0, 59);
+	uint32_t seen = 0;
+
+	run(f.s, 10 * S);
+	f.s->nodes[59].down = true;
+	for (uint32_t i = 0; i < 59; i++)
+		sim_accept(&f.s->nodes[i], fewer);
+	bb_member_stop(f.s->nodes[5].m, sim_clock(&f.s->nodes[5]));
+	f.s->nodes[5].down = true;
+	run(f.s, 8 * S);
+	for (uint32_t i = 6; i < 59; i++)
+		seen += bb_member_stopping(f.s->nodes[i].m, 5);
+	EXPECT_GT(seen, 50u);
+	for (uint32_t i = 0; i < 59; i++)
+		sim_start(f.s, i, f.config);
+	sim_config_delete(fewer);
+}
+
 // Guards against gossip that differs from direct evidence: the same nodes die
 // in both fleets, and both must agree on who has a quorum once it is settled.
 TEST(Member, AgreesWithAllToAllHeartbeats)
--- a/src/test_lib/test_retry.cc
+++ b/src/test_lib/test_retry.cc
@@ -204,7 +204,7 @@
 	RecordProperty("retries", x.retries);
 	EXPECT_GT(x.wanted, x.requests / 4);
 	EXPECT_LE(x.retries, x.requests * 15 / 100 + 156);
-	/* Nodes without need keep up to one each. */
+	/* A node keeps what it saves while nobody asks, and parts of one. */
 	EXPECT_GE(x.retries,
 		  x.requests * 15 / 100 + 156 - 2 * (int)Shedding::kHosts);
 }
