--- a/src/test_lib/test_transport.cc
+++ b/src/test_lib/test_transport.cc
@@ -363,6 +363,37 @@
 	}));
 }
 
+// Guards against a node that aborts when it goes on after a pause: a peer ended
+// while its requests and heartbeats filled the receive queue.
+TEST(Transport, PeerEndsWhileItsRequestsWait)
+{
+	Node b;
+	uint64_t nonce = 1;
+
+	for (int round = 0; round < 20; round++) {
+		auto a = std::make_unique<Node>(nullptr, 0, 0, 1);
+		gint64 end;
+
+		a->set_peers({ a->peer(), b.peer() });
+		ASSERT_TRUE(send_when_connected({ a.get(), &b }, 1, nonce++));
+		ASSERT_TRUE(wait_for({ &b }, [&] { return !b.got.empty(); }));
+		end = g_get_monotonic_time() + 50 * 1000;
+		while (g_get_monotonic_time() < end)
+			a->send(1, nonce++);
+		a.reset();
+		g_usleep(20 * 1000);
+		b.got.clear();
+		b.drain();
+	}
+	Node a;
+
+	a.set_peers({ a.peer(), b.peer() });
+	EXPECT_TRUE(wait_for({ &a, &b }, [&] {
+		a.send(1, 1);
+		return a.has(1, 1001);
+	}));
+}
+
 // Guards against control messages whose sender is not known on links without
 // encryption, and against nodes that are not in the peer list.
 TEST(Transport, PlainLinksNameTheSender)
