--- a/src/test_lib/test_attempt.cc
+++ b/src/test_lib/test_attempt.cc
@@ -11,29 +11,6 @@
 namespace
 {
 
-// One service of @nr backend servers, each on a host of its own.
-std::string pool(int nr)
-{
-	Document d;
-
-	d.hosts = d.backends = "";
-	for (int i = 0; i < nr; i++) {
-		std::string n = std::to_string(i), comma = i ? "," : "";
-
-		d.hosts += comma + "{\"name\":\"h" + n +
-			   "\",\"region\":\"r\",\"zone\":\"z\",\"address\":"
-			   "\"127.0.0." +
-			   std::to_string(i + 1) +
-			   "\",\"data_port\":7001,\"control_port\":7002}";
-		d.backends += comma + "{\"name\":\"b" + n + "\",\"host\":\"h" +
-			      n +
-			      "\",\"service\":\"orders\",\"url\":\"http://"
-			      "127.0.0.1:8001\",\"weight\":1,\"slots\":5,"
-			      "\"max_connections\":330,\"state\":\"in\"}";
-	}
-	return d.json();
-}
-
 struct Request {
 	Config config;
 	struct bb_balance *balance;
@@ -42,7 +19,7 @@
 	struct bb_attempt_rules rules = {};
 	int64_t now = 0;
 
-	explicit Request(int servers) : config(parse(pool(servers)))
+	explicit Request(int servers) : config(parse(pool_document(servers)))
 	{
 		struct bb_balance_options o = {};
 		struct bb_retry_limits limits = bb_retry_limits_default();
--- a/src/test_lib/test_breaker.cc
+++ b/src/test_lib/test_breaker.cc
@@ -105,29 +105,6 @@
 namespace
 {
 
-// One service of several backend servers, each on a host of its own.
-std::string pool_document(int servers)
-{
-	Document d;
-
-	d.hosts = d.backends = "";
-	for (int i = 0; i < servers; i++) {
-		std::string n = std::to_string(i), comma = i ? "," : "";
-
-		d.hosts += comma + "{\"name\":\"h" + n +
-			   "\",\"region\":\"r\",\"zone\":\"z\",\"address\":"
-			   "\"127.0.0." +
-			   std::to_string(i + 1) +
-			   "\",\"data_port\":7001,\"control_port\":7002}";
-		d.backends += comma + "{\"name\":\"b" + n + "\",\"host\":\"h" +
-			      n +
-			      "\",\"service\":\"orders\",\"url\":\"http://"
-			      "127.0.0.1:8001\",\"weight\":1,\"slots\":5,"
-			      "\"max_connections\":330,\"state\":\"in\"}";
-	}
-	return d.json();
-}
-
 /*
  * Load pattern: 60 requests a second over 14 entry nodes and 14 backend servers
  * with a service time of 400 ms; at any time some of them fail 85% of their
