--- a/src/libwire/transport_link.c
+++ b/src/libwire/transport_link.c
@@ -41,14 +41,8 @@
 	int64_t max_size = (int64_t)t->o.max_size + CURVE_OVERHEAD;
 	int queue = (int)t->o.send_queue;
 
-	/*
-	 * libzmq 4.3.4 aborts the process when a heartbeat is due, or is found
-	 * in what it has read, on a failed connection that it stopped reading
-	 * because the receive queue was full. What waits here is bounded by the
-	 * calls of the entry nodes, and a peer's own messages answer requests.
-	 */
 	return set_int(l, ZMQ_LINGER, 0) || set_int(l, ZMQ_SNDHWM, queue) ||
-	       set_int(l, ZMQ_RCVHWM, 0) ||
+	       set_int(l, ZMQ_RCVHWM, queue) ||
 	       zmq_setsockopt(l->socket, ZMQ_MAXMSGSIZE, &max_size,
 			      sizeof(max_size)) ||
 	       set_int(l, ZMQ_TCP_KEEPALIVE, 1) ||
@@ -80,6 +74,13 @@
 	    set_int(l, ZMQ_RECONNECT_IVL, RECONNECT_MS) ||
 	    set_int(l, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS))
 		return -1;
+	/*
+	 * libzmq 4.3.4 aborts the process when a heartbeat is due on a failed
+	 * connection that it stopped reading because the receive queue was
+	 * full. What a peer sends on this link answers requests of this node.
+	 */
+	if (set_int(l, ZMQ_RCVHWM, 0))
+		return -1;
 	if (t->o.heartbeat_ms < 0)
 		return 0;
 	/* The TTL makes the peer close the silent connection as well. */
