Notices of backend servers: decode, log and count what their answers say

The logs could not tell the hypotheses on LIMIT apart: no line had the limit that a backend server names, or when it names it. The adjacent node logs event=notice at each change, adds the limit to event=executed, and counts values that cannot be decoded. Nothing acts on a notice yet.

An answer that is damaged, late or of another backend server gives no notice.

--- a/include/baobabward/dialect.h
+++ b/include/baobabward/dialect.h
@@ -11,6 +11,8 @@
 
 #include <stdbool.h>
 
+#include "baobabward/notice.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -41,6 +43,8 @@
  * @fractional_retry_after: Retry-After may have a fraction
  * @not_run_as_503: a request that certainly did not run is answered with 503
  *                  where the status would be 502 or 504
+ * @decode_notice: decodes what a backend server says of itself in an answer,
+ *                 NULL if backend servers say nothing
  */
 struct bb_dialect {
 	const char *api_key;
@@ -56,6 +60,7 @@
 	bool close_ends_body;
 	bool fractional_retry_after;
 	bool not_run_as_503;
+	bb_notice_decode_fn *decode_notice;
 };
 
 /* baobabward's own interface. */
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -68,6 +68,9 @@
 	  "Trace spans dropped because the export queue was full." },
 	{ "log_lines_left_out_total", "counter",
 	  "Log lines not written: over the rate, or the reader was slow." },
+	{ "notices_unreadable_total", "counter",
+	  "Headers of a backend server on its limit or leaving that cannot be "
+	  "decoded." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -257,8 +257,11 @@
 {
 	const struct bb_bytes *account = &job->request.account;
 	const struct bb_bytes *route = &job->request.route;
-	struct bb_observation *o = g_new0(struct bb_observation, 1);
+	struct bb_observation *o;
 
+	if (!job->adjacent->o.control)
+		return;
+	o = g_new0(struct bb_observation, 1);
 	o->backend = g_strdup(job->backend->name);
 	o->outcome.class_id = (uint32_t)(XXH3_64bits(route->data, route->size) %
 					 BB_HEALTH_ROUTE_CLASSES);
@@ -342,17 +345,41 @@
 		BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name, "executed",
 		"backend=%s end=%s status=%u queued_ms=%" G_GINT64_FORMAT
 		" took_ms=%" G_GINT64_FORMAT
-		" new_connection=%d running=%u waiting=%u slots=%u",
+		" new_connection=%d running=%u waiting=%u slots=%u limit=%g",
 		job->backend->name, bb_execution_end_string[r->end], r->status,
 		(job->started_us - job->queue_entry.pushed_us) / BB_US_PER_MS,
 		r->latency_us / BB_US_PER_MS, r->new_connection, load.in_flight,
-		load.queued, load.slots);
+		load.queued, load.slots,
+		r->notice.limit == BB_LIMIT_NAMED ? r->notice.limit_per_s :
+						    -1.0);
 	if (r->end != BB_EXECUTION_DONE)
 		bb_log(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name,
 		       "request to %s failed: %s", job->backend->name,
 		       r->detail);
 }
 
+static bool same_notice(const struct bb_notice *a, const struct bb_notice *b)
+{
+	return a->limit == b->limit && a->limit_per_s == b->limit_per_s &&
+	       a->leaving == b->leaving && a->unreadable == b->unreadable;
+}
+
+/* Logs what a backend server says of itself when it changes. */
+static void take_notice(struct adjacent_backend *b, const struct bb_notice *n)
+{
+	static const char *const limit_string[] = { "none", "named",
+						    "unreadable" };
+
+	bb_metrics_add(BB_METRIC_NOTICES_UNREADABLE, n->unreadable);
+	if (same_notice(&b->notice, n))
+		return;
+	b->notice = *n;
+	bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL, "notice",
+		     "backend=%s limit=%s per_s=%g leaving=%d unreadable=%u",
+		     b->name, limit_string[n->limit], n->limit_per_s,
+		     n->leaving, n->unreadable);
+}
+
 static void on_executed(void *data, const struct bb_execution_result *r)
 {
 	struct bb_job *job = data;
@@ -369,6 +396,8 @@
 	count_connection(job, r->end == BB_EXECUTION_DONE, r->new_connection);
 	count_closed_idle(b, r->closed_idle);
 	update_breaker(job, outcome_kind(r), bb_clock_now_us());
+	if (r->end == BB_EXECUTION_DONE || r->end == BB_EXECUTION_REFUSED)
+		take_notice(b, &r->notice);
 	report_observation(job, outcome_kind(r), r->latency_us,
 			   r->new_connection, r->opened_us);
 	/* Errors may come at once and would distort the mean service time. */
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -35,7 +35,8 @@
  * struct bb_adjacent_options - configuration of the adjacent side.
  * @context: main context of the traffic thread
  * @incarnation: incarnation of this node
- * @control: control thread, which receives the outcomes of requests
+ * @control: control thread, which receives the outcomes of requests; NULL for
+ *           none
  * @reply: sends a RESULT
  * @data: passed to @reply
  * @tracer: receives spans, NULL for none
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -22,6 +22,7 @@
  * @idle_connections: connections that libcurl keeps open for reuse
  * @breaker: circuit breaker
  * @last_answer_us: when it last answered without a server error
+ * @notice: what it said of itself in its last answer
  * @configured: the current snapshot has it beside this node
  */
 struct adjacent_backend {
@@ -39,6 +40,7 @@
 	uint32_t idle_connections;
 	struct bb_breaker breaker;
 	int64_t last_answer_us;
+	struct bb_notice notice;
 	bool configured;
 };
 
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -221,6 +221,9 @@
 	r.status = x->head_complete ? (unsigned int)status : 0;
 	r.headers = (struct bb_header *)(void *)x->response_headers->data;
 	r.headers_nr = x->response_headers->len;
+	if (x->dialect->decode_notice &&
+	    (r.end == BB_EXECUTION_DONE || r.end == BB_EXECUTION_REFUSED))
+		r.notice = x->dialect->decode_notice(r.headers, r.headers_nr);
 	r.body.data = (const char *)x->response_body->data;
 	r.body.size = x->response_body->len;
 	r.latency_us = bb_clock_now_us() - x->started_us;
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -97,6 +97,9 @@
  * @opened_us: when its connection was opened, 0 if unknown
  * @closed_idle: number of idle connections to the backend server closed because
  *               they no longer work, see connections.h
+ * @notice: what the backend server says of itself; nothing unless @end is
+ *          BB_EXECUTION_DONE or BB_EXECUTION_REFUSED, since other answers may
+ *          be damaged or of another backend server
  * @detail: error text of libcurl
  */
 struct bb_execution_result {
@@ -109,6 +112,7 @@
 	bool new_connection;
 	int64_t opened_us;
 	unsigned int closed_idle;
+	struct bb_notice notice;
 	const char *detail;
 };
 
