Keep the limit that a backend server names on the rate of its requests

Callers saw failures of backend servers in need that went on getting as many requests as they have slots for. Cause: Server-Limit was passed to the caller and read by no one. What a backend server asks of the fleet was not part of what a node can learn from an answer; only the load it measures itself was.

The adjacent node, the only sender of requests to its backend server, now paces them by a token bucket (pace.h) inside the queue, where it counts like a slot: a request that could start only after its deadline is refused at once, a slot search moves on, and waits are estimated with the interval that the rate allows. Load reports count the slots that the rate keeps busy, and the balancer weighs by them, so that entry nodes turn to others before they are refused.

--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -1,7 +1,8 @@
 /*
- * Slots and fair queue of one backend server, kept by its adjacent node.
+ * Slots, pace and fair queue of one backend server, kept by its adjacent node.
  *
- * Requests that find no free slot wait. Deficit round robin over client
+ * Requests that find no free slot, or that would exceed the limit on the rate
+ * that the backend server names (pace.h), wait. Deficit round robin over client
  * accounts decides which request starts next. Deficits are in microseconds of
  * measured service time, so an account with slow requests starts fewer of them.
  * While other accounts are active, an account with slow requests does not get
@@ -129,9 +130,10 @@
 void bb_queue_delete(struct bb_queue *q);
 
 /**
- * bb_queue_has_free_slot() - whether a slot is free and no entry waits for it.
+ * bb_queue_has_free_slot() - whether a slot is free now, no entry waits for it
+ * and the limit on the rate allows a start.
  */
-bool bb_queue_has_free_slot(const struct bb_queue *q);
+bool bb_queue_has_free_slot(const struct bb_queue *q, int64_t now_us);
 
 /**
  * bb_queue_mean_service_us() - moving average of the measured service time.
@@ -147,6 +149,14 @@
 void bb_queue_set_limits(struct bb_queue *q, uint32_t slots,
 			 uint32_t max_connections);
 
+/**
+ * bb_queue_set_rate() - limit the rate at which requests start.
+ * @q: queue
+ * @rate_per_s: requests per second, see bb_pace_set(); negative for no limit
+ * @now_us: current time
+ */
+void bb_queue_set_rate(struct bb_queue *q, double rate_per_s, int64_t now_us);
+
 /**
  * bb_queue_push() - add a request.
  * @q: queue
@@ -169,7 +179,7 @@
  * @idle: open connections that are idle and may be reused
  * @now_us: current time
  * @wake_us: set to the time of the next useful call if only connection pacing
- *           prevents a start, else to INT64_MAX
+ *           or the limit on the rate prevents a start, else to INT64_MAX
  *
  * Return: entry that now occupies a slot until bb_queue_finish(), or NULL.
  */
@@ -219,10 +229,14 @@
 /**
  * bb_queue_load() - current load, for a RESULT message.
  * @q: queue
+ * @now_us: current time
+ *
+ * A limit on the rate reduces the slots in the load to the number of requests
+ * that run at once at that rate. While it allows no start, they are all taken.
  *
  * Return: load with avoid_for_us 0.
  */
-struct bb_load bb_queue_load(const struct bb_queue *q);
+struct bb_load bb_queue_load(const struct bb_queue *q, int64_t now_us);
 
 /**
  * bb_queue_connection_opened() - count a new connection that bb_queue_pop() did
--- a/include/baobabward/wire.h
+++ b/include/baobabward/wire.h
@@ -109,7 +109,8 @@
  * struct bb_load - load of a backend server as its adjacent node sees it.
  * @in_flight: requests that it is running
  * @queued: requests waiting for a slot at the adjacent node
- * @slots: largest number of requests that it may run at once
+ * @slots: largest number of requests that it may run at once, less than
+ *         configured after a readmission and while it limits its rate
  * @avoid_for_us: time for which it should get no requests because it is
  *                ejected, leaving or backing off; 0 if it accepts them
  */
--- a/src/bench/bench_queue.c
+++ b/src/bench/bench_queue.c
@@ -216,7 +216,7 @@
 {
 	struct bb_load l = { v->running, v->fifo.length, SLOTS, 0 };
 
-	return v->queue ? bb_queue_load(v->queue) : l;
+	return v->queue ? bb_queue_load(v->queue, 0) : l;
 }
 
 /* Sends the result of an attempt and the load to the entry node. */
--- a/src/bench/load_replay.h
+++ b/src/bench/load_replay.h
@@ -467,7 +467,7 @@
 {
 	struct bb_attempt_outcome outcome = { verdict, reason, status };
 	struct bb_attempt_limits limits = load_attempt_limits(r);
-	struct bb_load load = bb_queue_load(r->server->queue);
+	struct bb_load load = bb_queue_load(r->server->queue, now_us);
 
 	if (r->sim->method != LOAD_NO_BREAKER)
 		load.avoid_for_us =
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -60,11 +60,12 @@
 
 static struct bb_load backend_load(const struct adjacent_backend *b)
 {
-	struct bb_load load = bb_queue_load(b->queue);
-	int64_t left_us = b->avoid_until_us - bb_clock_now_us();
+	int64_t now_us = bb_clock_now_us();
+	struct bb_load load = bb_queue_load(b->queue, now_us);
+	int64_t left_us = b->avoid_until_us - now_us;
 
-	load.avoid_for_us = MAX(left_us, bb_breaker_open_us(&b->breaker,
-							    bb_clock_now_us()));
+	load.avoid_for_us =
+		MAX(left_us, bb_breaker_open_us(&b->breaker, now_us));
 	load.avoid_for_us = MAX(0, load.avoid_for_us);
 	if (bb_adjacent_is_leaving(b))
 		load.avoid_for_us = MAX(load.avoid_for_us, LEAVING_AVOID_US);
@@ -331,7 +332,8 @@
 			  const struct bb_execution_result *r)
 {
 	const struct bb_bytes *id = caller_request_id(job);
-	struct bb_load load = bb_queue_load(job->backend->queue);
+	struct bb_load load =
+		bb_queue_load(job->backend->queue, bb_clock_now_us());
 	char name[64];
 
 	if (id)
@@ -364,22 +366,51 @@
 	       a->leaving == b->leaving && a->unreadable == b->unreadable;
 }
 
-/* Logs what a backend server says of itself when it changes. */
-static void take_notice(struct adjacent_backend *b, const struct bb_notice *n)
+static void log_notice(const struct adjacent_backend *b)
 {
 	static const char *const limit_string[] = { "none", "named",
 						    "unreadable" };
+	const struct bb_notice *n = &b->notice;
 
-	bb_metrics_add(BB_METRIC_NOTICES_UNREADABLE, n->unreadable);
-	if (same_notice(&b->notice, n))
-		return;
-	b->notice = *n;
 	bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL, "notice",
 		     "backend=%s limit=%s per_s=%g leaving=%d unreadable=%u",
 		     b->name, limit_string[n->limit], n->limit_per_s,
 		     n->leaving, n->unreadable);
 }
 
+/*
+ * A limit holds until the answer to a later request names none. Answers arrive
+ * out of order, so that one to an earlier request does not withdraw it.
+ */
+static void apply_limit(struct adjacent_backend *b, const struct bb_notice *n,
+			int64_t sent_us, int64_t now_us)
+{
+	switch (n->limit) {
+	case BB_LIMIT_NAMED:
+		b->limit_named_us = now_us;
+		bb_queue_set_rate(b->queue, n->limit_per_s, now_us);
+		break;
+	case BB_LIMIT_NONE:
+		if (sent_us >= b->limit_named_us)
+			bb_queue_set_rate(b->queue, -1, now_us);
+		break;
+	case BB_LIMIT_UNREADABLE:
+		break;
+	}
+}
+
+static void take_notice(struct bb_job *job, const struct bb_notice *n)
+{
+	struct adjacent_backend *b = job->backend;
+
+	bb_metrics_add(BB_METRIC_NOTICES_UNREADABLE, n->unreadable);
+	if (!same_notice(&b->notice, n)) {
+		b->notice = *n;
+		log_notice(b);
+	}
+	apply_limit(b, n, job->started_us, bb_clock_now_us());
+}
+
 static void on_executed(void *data, const struct bb_execution_result *r)
 {
 	struct bb_job *job = data;
@@ -397,7 +428,7 @@
 	count_closed_idle(b, r->closed_idle);
 	update_breaker(job, outcome_kind(r), bb_clock_now_us());
 	if (r->end == BB_EXECUTION_DONE || r->end == BB_EXECUTION_REFUSED)
-		take_notice(b, &r->notice);
+		take_notice(job, &r->notice);
 	report_observation(job, outcome_kind(r), r->latency_us,
 			   r->new_connection, r->opened_us);
 	/* Errors may come at once and would distort the mean service time. */
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -4,6 +4,8 @@
  */
 #include "libnode/adjacent_private.h"
 
+#include "baobabward/clock.h"
+
 bool bb_adjacent_is_leaving(const struct adjacent_backend *b)
 {
 	return !b->configured || b->state != BB_BACKEND_IN ||
@@ -52,7 +54,7 @@
 static gboolean is_gone(gpointer key, gpointer value, gpointer data)
 {
 	const struct adjacent_backend *b = value;
-	struct bb_load load = bb_queue_load(b->queue);
+	struct bb_load load = bb_queue_load(b->queue, bb_clock_now_us());
 
 	(void)key;
 	(void)data;
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -23,6 +23,7 @@
  * @breaker: circuit breaker
  * @last_answer_us: when it last answered without a server error
  * @notice: what it said of itself in its last answer
+ * @limit_named_us: when an answer last named a limit
  * @configured: the current snapshot has it beside this node
  */
 struct adjacent_backend {
@@ -41,6 +42,7 @@
 	struct bb_breaker breaker;
 	int64_t last_answer_us;
 	struct bb_notice notice;
+	int64_t limit_named_us;
 	bool configured;
 };
 
--- a/src/libroute/admission.c
+++ b/src/libroute/admission.c
@@ -13,7 +13,7 @@
 				  const struct bb_queue *q,
 				  struct bb_breaker *b, int64_t now_us)
 {
-	if (!a->may_wait && !bb_queue_has_free_slot(q))
+	if (!a->may_wait && !bb_queue_has_free_slot(q, now_us))
 		return BB_REASON_QUEUE_FULL;
 	if (b && !bb_breaker_admit(b, a->idempotent, a->last_resort, now_us))
 		return BB_REASON_EJECTED;
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -27,6 +27,7 @@
  * @in_flight: this node's own requests in flight
  * @others_load: slots used and requests queued by other nodes at the last
  *               report, in units of 1/LOAD_UNIT
+ * @slots: slots in use at the last report
  * @reported_us: time of the report, 0 if there was none
  * @hint_until_us: end of the time for which the adjacent node asked to be
  *                 avoided
@@ -39,6 +40,7 @@
 	uint32_t refs;
 	uint32_t in_flight;
 	uint64_t others_load;
+	uint32_t slots;
 	uint64_t reported_us;
 	uint64_t hint_until_us;
 	uint64_t avoid_until_us;
@@ -277,6 +279,7 @@
 	double mean = (double)ck_pr_load_64(&b->mean_load) / LOAD_UNIT;
 	uint64_t at = ck_pr_load_64(&m->path->reported_us);
 	double others = mean * m->slots;
+	double slots = m->slots;
 	double own = ck_pr_load_32(&m->path->in_flight);
 	double weight = m->weight * (double)b->members_nr / b->total_weight;
 
@@ -288,8 +291,10 @@
 			      LOAD_UNIT;
 
 		others += fresh * (seen - others);
+		slots += fresh *
+			 ((double)ck_pr_load_32(&m->path->slots) - slots);
 	}
-	return (own + others) / (m->slots * weight) + m->penalty;
+	return (own + others) / (slots * weight) + m->penalty;
 }
 
 static struct member *draw_member(struct bb_balance *b)
@@ -453,6 +458,7 @@
 	int64_t avoid_us = MIN(load->avoid_for_us, BB_BALANCE_HINT_MAX_US);
 
 	ck_pr_store_64(&path->others_load, others);
+	ck_pr_store_32(&path->slots, MAX(load->slots, 1));
 	ck_pr_store_64(&path->reported_us, (uint64_t)MAX(now_us, 1));
 	ck_pr_store_64(&path->hint_until_us,
 		       avoid_us > 0 ? (uint64_t)(now_us + avoid_us) : 0);
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -4,6 +4,7 @@
 #include <math.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/pace.h"
 
 #define DEFAULT_SLOTS 4
 #define DEFAULT_MAX_CONNECTIONS 400
@@ -65,6 +66,7 @@
  * @next_check_us: when waiting entries are next checked for expiry
  * @next_cleanup_us: when idle accounts are next removed
  * @active_weight: sum of the weights of the accounts in @accounts
+ * @pace: limit on the rate at which requests start
  */
 struct bb_queue {
 	struct bb_queue_options o;
@@ -79,6 +81,7 @@
 	int64_t next_check_us;
 	int64_t next_cleanup_us;
 	double active_weight;
+	struct bb_pace pace;
 };
 
 static void list_add(struct entry_list *l, struct bb_queue_entry *e)
@@ -213,37 +216,48 @@
 	return a->service_us > 0 ? a->service_us : q->service_us;
 }
 
+/* Mean time between two starts while requests of this service time wait. */
+static double start_interval_us(const struct bb_queue *q, double service_us)
+{
+	double by_slots = service_us / fmax(q->o.slots, 1);
+	double rate_per_s = q->pace.rate_per_s;
+
+	return rate_per_s > 0 ? fmax(by_slots, BB_US_PER_S / rate_per_s) :
+				by_slots;
+}
+
 /* Estimates the time until an entry starts that has @ahead entries of its own
- * account before it: the account gets its share of the slots among the accounts
- * with waiting entries. The time for the whole queue is an upper bound. */
+ * account before it: the account gets its share of the starts among the
+ * accounts with waiting entries. The time for the whole queue is an upper
+ * bound. */
 static double estimate_wait_us(const struct bb_queue *q,
-			       const struct bb_queue_account *a, uint32_t ahead)
+			       const struct bb_queue_account *a, uint32_t ahead,
+			       int64_t now_us)
 {
 	double weights = q->ring_weight + (a->waiting.n ? 0 : a->weight);
-	double slots = fmax(q->o.slots, 1);
-	double own = account_service_us(q, a);
+	double own = start_interval_us(q, account_service_us(q, a));
 	double share = a->weight / fmax(weights, a->weight);
-	double fair = ahead * own / (slots * share);
-	double all = (ahead * own +
-		      (double)(q->waiting - MIN(q->waiting, a->waiting.n)) *
-			      q->service_us) /
-		     slots;
+	double fair = ahead * own / share;
+	double all = ahead * own +
+		     (double)(q->waiting - MIN(q->waiting, a->waiting.n)) *
+			     start_interval_us(q, q->service_us);
 
-	return fmin(fair, all);
+	return fmin(fair, all) + (double)bb_pace_wait_us(&q->pace, 0, now_us);
 }
 
 /* The same for an entry that is added now: the other accounts have their turns
  * first. */
 static double estimate_new_wait_us(const struct bb_queue *q,
-				   const struct bb_queue_account *a)
+				   const struct bb_queue_account *a,
+				   int64_t now_us)
 {
 	double weights = q->ring_weight + (a->waiting.n ? 0 : a->weight);
 	double rounds = fmax(weights, a->weight) / a->weight - 1;
-	double turn = rounds * account_service_us(q, a) / fmax(q->o.slots, 1);
+	double turn = rounds * start_interval_us(q, account_service_us(q, a));
 
-	return fmax(estimate_wait_us(q, a, a->waiting.n),
+	return fmax(estimate_wait_us(q, a, a->waiting.n, now_us),
 		    fmin(turn,
-			 q->waiting * q->service_us / fmax(q->o.slots, 1)));
+			 q->waiting * start_interval_us(q, q->service_us)));
 }
 
 static void unlink_waiting(struct bb_queue *q, struct bb_queue_entry *e)
@@ -303,9 +317,15 @@
 	return true;
 }
 
-bool bb_queue_has_free_slot(const struct bb_queue *q)
+bool bb_queue_has_free_slot(const struct bb_queue *q, int64_t now_us)
+{
+	return q->running < q->o.slots && !q->waiting &&
+	       !bb_pace_wait_us(&q->pace, 0, now_us);
+}
+
+void bb_queue_set_rate(struct bb_queue *q, double rate_per_s, int64_t now_us)
 {
-	return q->running < q->o.slots && !q->waiting;
+	bb_pace_set(&q->pace, rate_per_s, now_us);
 }
 
 int64_t bb_queue_mean_service_us(const struct bb_queue *q)
@@ -332,8 +352,8 @@
 	else if (!e->idempotent &&
 		 e->expires_us - now_us > q->o.booking_wait_us)
 		e->expires_us = now_us + q->o.booking_wait_us;
-	if (q->running >= q->o.slots || q->waiting)
-		wait = estimate_new_wait_us(q, a);
+	if (!bb_queue_has_free_slot(q, now_us))
+		wait = estimate_new_wait_us(q, a, now_us);
 	if (wait > (double)(e->expires_us - now_us))
 		return expiry_reason(e);
 	if (q->waiting >= q->o.max_waiting && !make_room(q, a))
@@ -487,11 +507,17 @@
 {
 	struct bb_queue_account *a;
 	struct bb_queue_entry *e;
+	int64_t pace_us;
 
 	*wake_us = INT64_MAX;
 	for (;;) {
 		if (q->running >= q->o.slots || !q->waiting)
 			return NULL;
+		pace_us = bb_pace_wait_us(&q->pace, 0, now_us);
+		if (pace_us) {
+			*wake_us = now_us + pace_us;
+			return NULL;
+		}
 		a = next_account(q, idle, now_us, wake_us);
 		if (!a)
 			return NULL;
@@ -504,6 +530,7 @@
 	a->deficit_us = fmax(a->deficit_us - account_service_us(q, a), 0);
 	unlink_waiting(q, e);
 	assign_connection(q, e, idle, now_us);
+	bb_pace_spend(&q->pace, now_us);
 	e->started_us = now_us;
 	e->state = ENTRY_RUNNING;
 	list_add(&a->running, e);
@@ -548,7 +575,7 @@
 		struct bb_queue_entry *next = e->next;
 		double left = (double)(e->expires_us - now_us);
 
-		if (left <= 0 || estimate_wait_us(q, a, ahead) > left) {
+		if (left <= 0 || estimate_wait_us(q, a, ahead, now_us) > left) {
 			refuse(q, e, expiry_reason(e));
 		} else {
 			next_us = MIN(next_us, e->expires_us);
@@ -600,13 +627,27 @@
 	return n;
 }
 
-struct bb_load bb_queue_load(const struct bb_queue *q)
+/* Requests that run at once when they start at the limited rate. */
+static uint32_t slots_in_use(const struct bb_queue *q)
 {
-	return (struct bb_load){
+	double at_once = q->pace.rate_per_s * q->service_us / BB_US_PER_S;
+
+	if (!(q->pace.rate_per_s > 0) || at_once >= q->o.slots)
+		return q->o.slots;
+	return MAX(1, (uint32_t)ceil(at_once));
+}
+
+struct bb_load bb_queue_load(const struct bb_queue *q, int64_t now_us)
+{
+	struct bb_load load = {
 		.in_flight = q->running,
 		.queued = q->waiting,
-		.slots = q->o.slots,
+		.slots = slots_in_use(q),
 	};
+
+	if (bb_pace_wait_us(&q->pace, 0, now_us))
+		load.in_flight = MAX(load.in_flight, load.slots);
+	return load;
 }
 
 void bb_queue_connection_opened(struct bb_queue *q, int64_t now_us)
--- a/src/test_lib/test_balance.cc
+++ b/src/test_lib/test_balance.cc
@@ -96,6 +96,30 @@
 	bb_balance_delete(b);
 }
 
+// Guards against a backend server with a limit on its rate that gets the share
+// of one that uses all of its slots.
+TEST(Balance, FewerSlotsInUseGetFewerRequests)
+{
+	pool p(2);
+	struct bb_balance *b = p.balance();
+	std::vector<struct bb_choice> held;
+	struct bb_load load = {};
+	int limited = 0;
+
+	load.slots = 1;
+	bb_balance_report(b, bb_balance_path(b, 0), &load, 1);
+	load.slots = 4;
+	bb_balance_report(b, bb_balance_path(b, 1), &load, 1);
+	for (int i = 0; i < 5; i++) {
+		held.push_back(bb_balance_choose(b, nullptr, 0, 1));
+		limited += held.back().backend == 0;
+	}
+	EXPECT_LE(limited, 2);
+	for (auto &c : held)
+		bb_path_release(c.path);
+	bb_balance_delete(b);
+}
+
 // Guards against the choice of a backend server that has no weight, is leaving,
 // out, excluded, or avoided by the hint of its adjacent node, and against no
 // choice while one is eligible. Compares random states with a plain list.
--- a/src/test_lib/test_queue.cc
+++ b/src/test_lib/test_queue.cc
@@ -160,7 +160,7 @@
 				}
 				break;
 			}
-			struct bb_load l = bb_queue_load(f.q);
+			struct bb_load l = bb_queue_load(f.q, 0);
 
 			ASSERT_EQ(f.running.size(), l.in_flight);
 			ASSERT_EQ(f.waiting, l.queued);
@@ -343,10 +343,10 @@
 	EXPECT_EQ(BB_REASON_QUEUE_FULL, f.push(1, FAR_FUTURE, 0)->refused);
 	EXPECT_EQ(BB_REASON_NONE, f.push(2, FAR_FUTURE, 0)->refused);
 	EXPECT_EQ(BB_REASON_QUEUE_FULL, f.all[9]->refused);
-	EXPECT_EQ(10u, bb_queue_load(f.q).queued);
+	EXPECT_EQ(10u, bb_queue_load(f.q, 0).queued);
 	/* An entry that is already waiting is not added a second time. */
 	EXPECT_EQ(BB_REASON_INTERNAL, bb_queue_push(f.q, &f.all[0]->e, 0));
-	EXPECT_EQ(10u, bb_queue_load(f.q).queued);
+	EXPECT_EQ(10u, bb_queue_load(f.q, 0).queued);
 }
 
 // Guards against shares that are computed from the number of requests instead
@@ -413,7 +413,7 @@
 			if (f.waiting < 30)
 				f.push(i % 8, FAR_FUTURE, now, true, false,
 				       0.1 + i % 8);
-			while (bb_queue_load(f.q).in_flight < 4 && f.waiting)
+			while (bb_queue_load(f.q, 0).in_flight < 4 && f.waiting)
 				ASSERT_TRUE(f.pop(now)) << seed << " " << i;
 			if (f.running.size() == 4)
 				f.finish(f.running[g_rand_int_range(g, 0, 4)],
@@ -422,3 +422,51 @@
 		g_rand_free(g);
 	}
 }
+
+// Guards against requests that wait although the limit on the rate lets them
+// start only after their deadline, against starts beyond the limit, and against
+// a limit that stays after it was withdrawn.
+TEST(Queue, RateLimitsStartsAndRefusesAtOnce)
+{
+	struct bb_queue_options o = {};
+	int64_t now = BB_US_PER_S, wake;
+
+	o.slots = 4;
+	fixture f(o);
+	bb_queue_set_rate(f.q, 2, now);
+	EXPECT_FALSE(bb_queue_has_free_slot(f.q, now));
+	// At two a second, these start after 0.5 s, 1 s and 1.5 s.
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(BB_REASON_NONE,
+			  f.push(1, now + 1600 * MS, now)->refused);
+	EXPECT_EQ(BB_REASON_DEADLINE, f.push(1, now + 1600 * MS, now)->refused);
+	EXPECT_EQ(nullptr, f.pop(now, 9, &wake));
+	EXPECT_EQ(now + 500 * MS, wake);
+	now = wake;
+	EXPECT_NE(nullptr, f.pop(now));
+	EXPECT_EQ(nullptr, f.pop(now + 499 * MS));
+	bb_queue_set_rate(f.q, -1, now);
+	EXPECT_NE(nullptr, f.pop(now));
+	EXPECT_NE(nullptr, f.pop(now));
+	EXPECT_TRUE(bb_queue_has_free_slot(f.q, now));
+}
+
+// Guards against a backend server that looks idle to entry nodes because its
+// limit keeps its slots free.
+TEST(Queue, LoadCountsTheSlotsThatTheRateUses)
+{
+	struct bb_queue_options o = {};
+	int64_t now = BB_US_PER_S;
+
+	o.slots = 5;
+	o.initial_service_us = 400 * MS;
+	fixture f(o);
+	EXPECT_EQ(5u, bb_queue_load(f.q, now).slots);
+	bb_queue_set_rate(f.q, 5, now);
+	EXPECT_EQ(2u, bb_queue_load(f.q, now).slots);
+	EXPECT_EQ(2u, bb_queue_load(f.q, now).in_flight);
+	now += 200 * MS;
+	EXPECT_EQ(0u, bb_queue_load(f.q, now).in_flight);
+	bb_queue_set_rate(f.q, 1000, now);
+	EXPECT_EQ(5u, bb_queue_load(f.q, now).slots);
+}
