--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -17,9 +17,6 @@
 #define DRAWS_MAX 8
 /* Weight of a new report in the moving average of the pool's load. */
 #define MEAN_LOAD_GAIN 0.05
-/* Time for which a report of fewer slots in use holds: a limit on the rate
- * changes less often than the load. */
-#define SLOTS_REPORT_MAX_US (10 * BB_US_PER_S)
 /* Scale of the fixed-point loads, which are kept in integers for atomic access:
  * 1.0 is LOAD_UNIT. */
 #define LOAD_UNIT 1024
@@ -274,16 +271,6 @@
 	return true;
 }
 
-/* Slots that the backend server uses, by the last report of its node. */
-static double slots_in_use(const struct member *m, int64_t now_us)
-{
-	int64_t at = (int64_t)ck_pr_load_64(&m->path->reported_us);
-
-	if (!at || now_us - at >= SLOTS_REPORT_MAX_US)
-		return m->slots;
-	return MIN(m->slots, ck_pr_load_32(&m->path->slots));
-}
-
 /* Estimated load relative to the slots and to the weight, which is scaled to a
  * mean of 1, plus the penalty for another availability zone. */
 static double estimated_load(const struct bb_balance *b, const struct member *m,
@@ -291,8 +278,8 @@
 {
 	double mean = (double)ck_pr_load_64(&b->mean_load) / LOAD_UNIT;
 	uint64_t at = ck_pr_load_64(&m->path->reported_us);
-	double slots = slots_in_use(m, now_us);
-	double others = mean * slots;
+	double others = mean * m->slots;
+	double slots = m->slots;
 	double own = ck_pr_load_32(&m->path->in_flight);
 	double weight = m->weight * (double)b->members_nr / b->total_weight;
 
@@ -310,12 +297,6 @@
 	return (own + others) / (slots * weight) + m->penalty;
 }
 
-/* True with a probability of @p. */
-static bool random_chance(struct bb_balance *b, double p)
-{
-	return p >= 1 || (double)(uint32_t)next_random(b) < p * 4294967296.0;
-}
-
 static struct member *draw_member(struct bb_balance *b)
 {
 	uint64_t r = next_random(b);
@@ -327,16 +308,6 @@
 	return &b->members[m->alias];
 }
 
-/* Whether a member that was drawn is a candidate: it is eligible, and one that
- * uses a part of its slots is passed over as often. */
-static bool accept_draw(struct bb_balance *b, const struct member *m,
-			const uint32_t *excluded, size_t excluded_nr,
-			int64_t now_us)
-{
-	return is_eligible(m, excluded, excluded_nr, false, now_us) &&
-	       random_chance(b, slots_in_use(m, now_us) / m->slots);
-}
-
 static struct member *less_loaded(const struct bb_balance *b, struct member *x,
 				  struct member *y, int64_t now_us)
 {
@@ -384,7 +355,7 @@
 		uint32_t at = b->locals[next_random(b) % b->locals_nr];
 		struct member *m = &b->members[at];
 
-		if (accept_draw(b, m, excluded, excluded_nr, now_us))
+		if (is_eligible(m, excluded, excluded_nr, false, now_us))
 			best = less_loaded(b, best, m, now_us);
 	}
 	return best && estimated_load(b, best, now_us) <= b->local_max_load ?
@@ -410,7 +381,7 @@
 		struct member *m = draw_member(b);
 
 		if (m == first ||
-		    !accept_draw(b, m, excluded, excluded_nr, now_us))
+		    !is_eligible(m, excluded, excluded_nr, false, now_us))
 			continue;
 		if (!first)
 			first = m;
