Keep the limits of backend servers across restarts and registrations

The limit that a backend server names was kept in the adjacent node's state of the configured backend server. It was lost when the entry left the registry and returned (a backend server cut off from the store goes on answering), and when the node started again; then as many requests as there are slots were sent before the first answer named the limit again, while the nodes that had passed it on are still bound by it.

A node now records what backend servers said of themselves apart from the configuration, by name and start: notices.h. Entry nodes record what they pass on, and EXECUTE carries the limit to the adjacent node, which uses it until it has an answer of its own. The start comes from the registration through a new optional field started_ms of a backend server, so that a backend server that starts again under its name has said nothing. A start that is no time counts as unknown; it would have made the whole configuration invalid. EXECUTE has one field more, so that nodes of older builds refuse it, as with may_wait before.

With each way switched off, its test fails: PlatformLimit.LimitOutlivesTheRegistration and RestartedNodeLearnsLimitFromEntryNodes.

--- a/include/baobabward/config.h
+++ b/include/baobabward/config.h
@@ -92,6 +92,8 @@
  * @slots: limit of concurrent requests, at least 1
  * @max_connections: limit of open connections, at least @slots
  * @state: state set by the operators
+ * @started_ms: wall time in milliseconds at which it started, as a registry
+ *              tells it; tells its starts under one name apart; 0 if unknown
  */
 struct bb_backend {
 	char *name;
@@ -102,8 +104,12 @@
 	uint32_t slots;
 	uint32_t max_connections;
 	enum bb_backend_state state;
+	double started_ms;
 };
 
+/* Largest @started_ms of struct bb_backend: whole numbers are exact up to it. */
+#define BB_BACKEND_STARTED_MS_MAX 9007199254740992.0
+
 /* HTTP methods, as bits of @methods of struct bb_route. */
 enum bb_method {
 	BB_METHOD_GET = 1 << 0,
--- a/include/baobabward/wire.h
+++ b/include/baobabward/wire.h
@@ -158,6 +158,9 @@
  *               admitted even if the breaker is open, see breaker.h
  * @may_wait: without a free slot the request is queued, otherwise refused at
  *            once
+ * @limit_milli: limit that the backend server named in an answer to the sender,
+ *               in thousandths of a request per second, 0 for none; holds if
+ *               the receiver has had no answer from the backend server yet
  * @backend: name of the backend server
  * @account: name of the client account
  * @route: name of the route
@@ -171,6 +174,7 @@
 	bool idempotent;
 	bool last_resort;
 	bool may_wait;
+	uint32_t limit_milli;
 	struct bb_bytes backend;
 	struct bb_bytes account;
 	struct bb_bytes route;
--- a/src/libconfig/config_columns.c
+++ b/src/libconfig/config_columns.c
@@ -92,6 +92,8 @@
 	COLUMN(bb_backend, max_connections, BB_COLUMN_U32, 1, CONNECTIONS_MAX,
 	       false),
 	COLUMN(bb_backend, state, BB_COLUMN_STATE, 0, 0, false),
+	SPARSE(bb_backend, started_ms, BB_COLUMN_REAL, 0,
+	       BB_BACKEND_STARTED_MS_MAX),
 };
 
 static const struct bb_column route_columns[] = {
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -33,6 +33,7 @@
  * @spans: trace spans
  * @refusal: why its queue refused it
  * @started_us: when it was sent to the backend server
+ * @backend_started_ms: when the backend server had started by then
  */
 struct bb_job {
 	struct bb_adjacent *adjacent;
@@ -45,6 +46,7 @@
 	struct bb_adjacent_spans spans;
 	enum bb_reason refusal;
 	int64_t started_us;
+	double backend_started_ms;
 };
 
 static void free_backend(void *data)
@@ -360,17 +362,11 @@
 		       r->detail);
 }
 
-static bool same_notice(const struct bb_notice *a, const struct bb_notice *b)
-{
-	return a->limit == b->limit && a->limit_per_s == b->limit_per_s &&
-	       a->leaving == b->leaving && a->unreadable == b->unreadable;
-}
-
-static void log_notice(const struct adjacent_backend *b)
+static void log_notice(const struct adjacent_backend *b,
+		       const struct bb_notice *n)
 {
 	static const char *const limit_string[] = { "none", "named",
 						    "unreadable" };
-	const struct bb_notice *n = &b->notice;
 
 	bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL, "notice",
 		     "backend=%s limit=%s per_s=%g leaving=%d unreadable=%u",
@@ -378,37 +374,20 @@
 		     n->leaving, n->unreadable);
 }
 
-/*
- * A limit holds until the answer to a later request names none. Answers arrive
- * out of order, so that one to an earlier request does not withdraw it.
- */
-static void apply_limit(struct adjacent_backend *b, const struct bb_notice *n,
-			int64_t sent_us, int64_t now_us)
-{
-	switch (n->limit) {
-	case BB_LIMIT_NAMED:
-		b->limit_named_us = now_us;
-		bb_queue_set_rate(b->queue, n->limit_per_s, now_us);
-		break;
-	case BB_LIMIT_NONE:
-		if (sent_us >= b->limit_named_us)
-			bb_queue_set_rate(b->queue, -1, now_us);
-		break;
-	case BB_LIMIT_UNREADABLE:
-		break;
-	}
-}
-
 static void take_notice(struct bb_job *job, const struct bb_notice *n)
 {
 	struct adjacent_backend *b = job->backend;
+	int64_t now_us = bb_clock_now_us();
+	struct bb_notice_record *r = bb_adjacent_record(b, now_us);
 
+	/* It may have started again since the request was sent. */
+	if (!r || r->started_ms != job->backend_started_ms)
+		return;
 	bb_metrics_add(BB_METRIC_NOTICES_UNREADABLE, n->unreadable);
-	if (!same_notice(&b->notice, n)) {
-		b->notice = *n;
-		log_notice(b);
-	}
-	apply_limit(b, n, job->started_us, bb_clock_now_us());
+	r->answered = true;
+	if (bb_notices_take(r, n, job->started_us, now_us))
+		log_notice(b, n);
+	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
 }
 
 static void on_executed(void *data, const struct bb_execution_result *r)
@@ -489,6 +468,7 @@
 	    b->idle_connections)
 		b->idle_connections--;
 	job->started_us = now_us;
+	job->backend_started_ms = b->started_ms;
 	bb_metrics_add(BB_METRIC_EXECUTED, 1);
 }
 
@@ -607,6 +587,23 @@
 	set_max_wait(a, job, now_us);
 }
 
+/*
+ * After a restart this node knows no limit until the first answer, for which as
+ * many requests may be running as there are slots. The entry nodes still know
+ * it.
+ */
+static void take_limit_of_sender(struct adjacent_backend *b,
+				 const struct bb_message_execute *x,
+				 int64_t now_us)
+{
+	struct bb_notice_record *r = bb_adjacent_record(b, now_us);
+
+	if (!r || r->answered || !x->limit_milli)
+		return;
+	r->limit_per_s = x->limit_milli / 1000.0;
+	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
+}
+
 void bb_adjacent_execute(struct bb_adjacent *a,
 			 const struct bb_reply_address *to,
 			 struct bb_received_message *received,
@@ -636,6 +633,8 @@
 		bb_received_message_delete(received);
 		return;
 	}
+	if (b)
+		take_limit_of_sender(b, x, now_us);
 	reason = check_request(a, x, b, now_us);
 	if (reason) {
 		refuse(a, to, &x->id, b, BB_VERDICT_NOT_RUN, reason);
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -17,6 +17,7 @@
 #include "baobabward/transport.h"
 #include "baobabward/wire.h"
 #include "libnode/control.h"
+#include "libnode/notices.h"
 #include "libnode/snapshot.h"
 
 /**
@@ -41,6 +42,7 @@
  * @data: passed to @reply
  * @tracer: receives spans, NULL for none
  * @dialect: names of headers, NULL for the default
+ * @notices: what backend servers said of themselves, NULL if they say nothing
  * @breaker: redirect requests away from backend servers whose circuit breaker
  *           is open
  * @booking_wait_us: longest wait of a non-idempotent request in the queue
@@ -54,6 +56,7 @@
 	void *data;
 	struct bb_tracer *tracer;
 	const struct bb_dialect *dialect;
+	struct bb_notices *notices;
 	bool breaker;
 	int64_t booking_wait_us;
 };
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -12,6 +12,25 @@
 	       b->adjacent->host_leaving;
 }
 
+struct bb_notice_record *bb_adjacent_record(const struct adjacent_backend *b,
+					    int64_t now_us)
+{
+	struct bb_notices *n = b->adjacent->o.notices;
+
+	return n ? bb_notices_get(n, b->name, b->started_ms, now_us) : NULL;
+}
+
+/* What it said before its entry left the configuration, or before its last
+ * answer, still holds. */
+static void apply_notices(struct adjacent_backend *b)
+{
+	int64_t now_us = bb_clock_now_us();
+	const struct bb_notice_record *r = bb_adjacent_record(b, now_us);
+
+	if (r)
+		bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
+}
+
 /* After a readmission only a part of the slots is used at first. */
 static void apply_limits(struct adjacent_backend *b)
 {
@@ -47,7 +66,9 @@
 	b->slots = row->slots;
 	b->max_connections = row->max_connections;
 	b->state = row->state;
+	b->started_ms = row->started_ms;
 	apply_limits(b);
+	apply_notices(b);
 	b->configured = true;
 }
 
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -22,8 +22,7 @@
  * @idle_connections: connections that libcurl keeps open for reuse
  * @breaker: circuit breaker
  * @last_answer_us: when it last answered without a server error
- * @notice: what it said of itself in its last answer
- * @limit_named_us: when an answer last named a limit
+ * @started_ms: when it started, by the configuration
  * @configured: the current snapshot has it beside this node
  */
 struct adjacent_backend {
@@ -41,8 +40,7 @@
 	uint32_t idle_connections;
 	struct bb_breaker breaker;
 	int64_t last_answer_us;
-	struct bb_notice notice;
-	int64_t limit_named_us;
+	double started_ms;
 	bool configured;
 };
 
@@ -94,6 +92,14 @@
 
 /* adjacent_config.c */
 
+/**
+ * bb_adjacent_record() - what a backend server said of itself.
+ *
+ * Return: record, NULL if backend servers say nothing.
+ */
+struct bb_notice_record *bb_adjacent_record(const struct adjacent_backend *b,
+					    int64_t now_us);
+
 /**
  * bb_adjacent_is_leaving() - whether a backend server accepts no new requests
  * because of its state in the configuration or because its host is leaving.
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -122,6 +122,20 @@
 	return true;
 }
 
+/* Limit that the backend server of the current attempt named, for its node. */
+static uint32_t known_limit_milli(const struct bb_attempts *t)
+{
+	const struct bb_notices *n = t->entry->o.notices;
+	double per_s = n ? bb_notices_limit(n, t->call->backend,
+					    t->backend_started_ms) :
+			   -1;
+
+	/* 0 stands for no limit, so that a limit of 0 becomes the least one. */
+	return per_s < 0 || per_s >= UINT32_MAX / 1000 ?
+		       0 :
+		       MAX(1, (uint32_t)(per_s * 1000));
+}
+
 static void fill_execute(struct bb_attempts *t, struct bb_message *m)
 {
 	const struct bb_call *c = t->call;
@@ -140,6 +154,7 @@
 	x->idempotent = r->idempotent;
 	x->last_resort = t->history.last_resort;
 	x->may_wait = t->history.may_wait;
+	x->limit_milli = known_limit_milli(t);
 	x->backend = (struct bb_bytes){ b->name, strlen(b->name) };
 	x->account = (struct bb_bytes){ account, strlen(account) };
 	x->route = (struct bb_bytes){ r->name, strlen(r->name) };
@@ -430,6 +445,8 @@
 	t->call->attempts_nr = t->history.nr;
 	g_free(t->call->backend);
 	t->call->backend = g_strdup(name);
+	t->backend_started_ms =
+		e->snapshot->config->backends[t->backend].started_ms;
 	t->host = e->snapshot->config->backends[t->backend].host;
 	t->local = t->host == e->snapshot->self;
 	t->id.incarnation = e->o.incarnation;
@@ -517,6 +534,27 @@
 		bb_balance_report(b, t->path, &r->load, bb_clock_now_us());
 }
 
+/* The notice in an answer that is passed on. The adjacent side has taken that of
+ * a local one. */
+static void take_notice(struct bb_attempts *t,
+			const struct bb_message_result *m)
+{
+	const struct bb_entry *e = t->entry;
+	int64_t now_us = bb_clock_now_us();
+	struct bb_notice_record *r;
+	struct bb_notice n;
+
+	if (t->local || !e->o.notices || !e->o.dialect ||
+	    !e->o.dialect->decode_notice)
+		return;
+	r = bb_notices_get(e->o.notices, t->call->backend,
+			   t->backend_started_ms, now_us);
+	if (!r)
+		return;
+	n = e->o.dialect->decode_notice(m->headers, m->headers_nr);
+	bb_notices_take(r, &n, t->sent_us, now_us);
+}
+
 void bb_entry_result(struct bb_entry *e, const struct bb_message_result *r)
 {
 	struct bb_attempts *t = NULL;
@@ -559,6 +597,7 @@
 		bb_attempts_fail_current(t, r->verdict, r->reason);
 		return;
 	}
+	take_notice(t, r);
 	bb_call_answer(t->call, r->status, r->headers, r->headers_nr, &r->body);
 	if (!decide_retry(t, &outcome)) {
 		bb_attempts_finish(t);
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -17,6 +17,7 @@
 #include "libnode/adjacent.h"
 #include "libnode/call.h"
 #include "libnode/control.h"
+#include "libnode/notices.h"
 #include "libnode/session.h"
 #include "libnode/snapshot.h"
 
@@ -30,6 +31,8 @@
  * @control: control thread, for rate limit tokens and idempotency records
  * @sessions: sessions with the other nodes
  * @tracer: receives spans, NULL for none
+ * @dialect: names of headers, NULL for the default
+ * @notices: what backend servers said of themselves, NULL if they say nothing
  * @send: hands a message to the transport; false if it was certainly not sent
  * @is_connected: whether the transport has a connection to a host
  * @retry_percent: retries allowed as a percentage of first attempts
@@ -59,6 +62,8 @@
 	struct bb_control *control;
 	struct bb_sessions *sessions;
 	struct bb_tracer *tracer;
+	const struct bb_dialect *dialect;
+	struct bb_notices *notices;
 	bool (*send)(void *data, uint32_t host, const struct bb_message *m);
 	bool (*is_connected)(void *data, uint32_t host);
 	uint32_t retry_percent;
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -38,6 +38,8 @@
  * @host: host of the current attempt, BB_NO_ROW if it was removed from the
  *        configuration
  * @backend: backend server of the current attempt, BB_NO_ROW likewise
+ * @backend_started_ms: when the backend server of the current attempt started,
+ *                      by the configuration
  * @path: path of the current attempt, NULL when released
  * @receiver_incarnation: incarnation that the current attempt is addressed to
  * @not_after_us: deadline of the attempt in the clock of the receiver
@@ -63,6 +65,7 @@
 	struct bb_request_id id;
 	uint32_t host;
 	uint32_t backend;
+	double backend_started_ms;
 	struct bb_path *path;
 	uint64_t receiver_incarnation;
 	int64_t not_after_us;
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -12,6 +12,7 @@
 #include "libnode/endpoint.h"
 #include "libnode/loop.h"
 #include "libnode/mailbox.h"
+#include "libnode/notices.h"
 #include "libnode/session.h"
 
 /* Limits on calls and commands that wait for the thread; powers of two. */
@@ -57,6 +58,7 @@
  * @o: options
  * @calls: calls submitted by other threads
  * @commands: commands of other threads
+ * @notices: what backend servers said of themselves
  * @snapshot: configuration in force
  * @housekeeping: periodic timer
  * @hello_senders: last sender of a HELLO by host; notified when this node stops
@@ -75,6 +77,7 @@
 	struct bb_sessions *sessions;
 	struct bb_adjacent *adjacent;
 	struct bb_entry *entry;
+	struct bb_notices *notices;
 	struct bb_snapshot *snapshot;
 	GSource *housekeeping;
 	GHashTable *hello_senders;
@@ -357,6 +360,7 @@
 		.incarnation = t->o.incarnation,
 		.control = t->o.control,
 		.tracer = t->o.tracer,
+		.dialect = t->o.dialect,
 		.send = send_message,
 		.is_connected = is_connected,
 		.retry_percent = s->retry_percent,
@@ -381,11 +385,14 @@
 	if (!t->endpoint)
 		return -1;
 	t->sessions = bb_sessions_new();
+	t->notices = bb_notices_new();
+	ao.notices = t->notices;
 	t->adjacent = bb_adjacent_new(&ao, err);
 	if (!t->adjacent)
 		return -1;
 	eo.adjacent = t->adjacent;
 	eo.sessions = t->sessions;
+	eo.notices = t->notices;
 	t->entry = bb_entry_new(&eo);
 	bb_mailbox_attach(t->calls, t->context, on_call, t);
 	bb_mailbox_attach(t->commands, t->context, on_command, t);
@@ -401,6 +408,7 @@
 	bb_entry_delete(t->entry);
 	bb_adjacent_delete(t->adjacent);
 	bb_sessions_delete(t->sessions);
+	bb_notices_delete(t->notices);
 	bb_endpoint_delete(t->endpoint);
 	bb_mailbox_delete(t->calls);
 	bb_mailbox_delete(t->commands);
--- a/src/libwire/wire_layout.c
+++ b/src/libwire/wire_layout.c
@@ -113,6 +113,7 @@
 	F_BOOL(bb_message_execute, idempotent),
 	F_BOOL(bb_message_execute, last_resort),
 	F_BOOL(bb_message_execute, may_wait),
+	F_U32(bb_message_execute, limit_milli),
 	F_BYTES(bb_message_execute, backend, BB_NAME_MAX),
 	F_BYTES(bb_message_execute, account, BB_NAME_MAX),
 	F_BYTES(bb_message_execute, route, BB_NAME_MAX),
--- a/src/test_lib/entry_fixture.h
+++ b/src/test_lib/entry_fixture.h
@@ -27,6 +27,7 @@
 	uint64_t incarnation;
 	std::string backend;
 	bool may_wait;
+	uint32_t limit_milli;
 };
 
 // The entry side on host h0 of five hosts with one backend server each.
@@ -64,7 +65,8 @@
 		bb_snapshots_delete(snapshots);
 	}
 	// Sets a configuration with hosts and backend servers in this order.
-	void configure(int version, const std::vector<int> &order)
+	void configure(int version, const std::vector<int> &order,
+		       int64_t started_ms = 1000)
 	{
 		struct bb_snapshot *s;
 		Document d;
@@ -88,7 +90,9 @@
 				"\"http://127.0.0.1:" +
 				std::to_string(8000 + i) +
 				"\",\"weight\":1,\"slots\":5,"
-				"\"max_connections\":9,\"state\":\"in\"}";
+				"\"max_connections\":9,\"state\":\"in\","
+				"\"started_ms\":" +
+				std::to_string(started_ms) + "}";
 		}
 		std::string json = d.json();
 		struct bb_error err = {};
@@ -112,7 +116,8 @@
 					     x.id,
 					     x.receiver_incarnation,
 					     { x.backend.data, x.backend.size },
-					     x.may_wait });
+					     x.may_wait,
+					     x.limit_milli });
 	}
 	void answered(struct bb_call *c)
 	{
@@ -174,6 +179,25 @@
 		r.reason = reason;
 		bb_entry_result(e, &r);
 	}
+	// Answers the last EXECUTE with status 200 and these headers.
+	void
+	answer_last(const std::vector<std::pair<std::string, std::string>> &h)
+	{
+		std::vector<struct bb_header> headers;
+		struct bb_message_result r = {};
+
+		for (auto &i : h)
+			headers.push_back(
+				{ { i.first.data(), i.first.size() },
+				  { i.second.data(), i.second.size() } });
+		r.id = executes.back().id;
+		r.receiver_incarnation = executes.back().incarnation;
+		r.verdict = BB_VERDICT_RAN;
+		r.status = 200;
+		r.headers = headers.data();
+		r.headers_nr = headers.size();
+		bb_entry_result(e, &r);
+	}
 	uint32_t host(const std::string &name) const
 	{
 		return bb_config_find_host(e->snapshot->config, name.data(),
--- a/src/test_lib/test_wire.cc
+++ b/src/test_lib/test_wire.cc
@@ -65,6 +65,7 @@
 				      true,
 				      true,
 				      true,
+				      6500,
 				      bytes("backend"),
 				      bytes("account"),
 				      bytes("route"),
