Send no requests to a backend server that says it is leaving

A backend server that leaves says so in its answers, and the node that passes such an answer on is bound by it.

The adjacent node now refuses its new and queued requests as "leaving, not run", which redirects them, and each entry node that passes such an answer on no longer chooses it, not even as the last one. Both remember it with the other notices: across a restart of the node beside it, an expired and renewed registration, and answers that no longer say so; until the backend server starts again.

PlatformLeaving.BackendThatSaysSoGetsNoNewRequests, PlatformLeaving.HoldsUntilTheBackendStartsAgain and PlatformEntry.LeavingBackendIsNotChosen failed before.

--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -103,8 +103,8 @@
  * @excluded_nr: number of @excluded
  * @now_us: current time
  *
- * Backend servers that are not in the state "in", are leaving, or are avoided
- * are not chosen. Paths avoided because of this node's own timeouts are used as
+ * Backend servers that are not in the state "in", are leaving by their host or
+ * their own word, or are avoided are not chosen. Paths avoided because of this node's own timeouts are used as
  * a last resort when no other backend server is eligible; the hints of adjacent
  * nodes are always followed.
  *
@@ -212,6 +212,14 @@
  */
 void bb_balance_set_leaving(struct bb_balance *b, uint32_t host, bool leaving);
 
+/**
+ * bb_path_set_leaving() - set whether a backend server itself said that it is
+ * leaving.
+ * @path: path to it
+ * @leaving: true if it gets no new requests, whatever its host does
+ */
+void bb_path_set_leaving(struct bb_path *path, bool leaving);
+
 /**
  * bb_path_release() - count the end of a request on the path, whatever its
  * outcome, and drop the reference that the choice holds.
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -387,7 +387,7 @@
 	r->answered = true;
 	if (bb_notices_take(r, n, job->started_us, now_us))
 		log_notice(b, n);
-	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
+	bb_adjacent_apply_notices(b);
 }
 
 static void on_executed(void *data, const struct bb_execution_result *r)
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -8,7 +8,7 @@
 
 bool bb_adjacent_is_leaving(const struct adjacent_backend *b)
 {
-	return !b->configured || b->state != BB_BACKEND_IN ||
+	return !b->configured || b->state != BB_BACKEND_IN || b->said_leaving ||
 	       b->adjacent->host_leaving;
 }
 
@@ -20,17 +20,6 @@
 	return n ? bb_notices_get(n, b->name, b->started_ms, now_us) : NULL;
 }
 
-/* What it said before its entry left the configuration, or before its last
- * answer, still holds. */
-static void apply_notices(struct adjacent_backend *b)
-{
-	int64_t now_us = bb_clock_now_us();
-	const struct bb_notice_record *r = bb_adjacent_record(b, now_us);
-
-	if (r)
-		bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
-}
-
 /* After a readmission only a part of the slots is used at first. */
 static void apply_limits(struct adjacent_backend *b)
 {
@@ -39,6 +28,25 @@
 	bb_queue_set_limits(b->queue, MAX(1, slots), b->max_connections);
 }
 
+/* Requests that wait for a leaving backend server can run elsewhere. */
+static void drain_if_leaving(struct adjacent_backend *b)
+{
+	if (bb_adjacent_is_leaving(b))
+		bb_queue_drain(b->queue, BB_REASON_LEAVING);
+}
+
+void bb_adjacent_apply_notices(struct adjacent_backend *b)
+{
+	int64_t now_us = bb_clock_now_us();
+	const struct bb_notice_record *r = bb_adjacent_record(b, now_us);
+
+	if (!r)
+		return;
+	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
+	b->said_leaving = r->leaving;
+	drain_if_leaving(b);
+}
+
 static void configure_backend(struct bb_adjacent *a,
 			      const struct bb_backend *row)
 {
@@ -68,8 +76,8 @@
 	b->state = row->state;
 	b->started_ms = row->started_ms;
 	apply_limits(b);
-	apply_notices(b);
 	b->configured = true;
+	bb_adjacent_apply_notices(b);
 }
 
 static gboolean is_gone(gpointer key, gpointer value, gpointer data)
@@ -82,13 +90,6 @@
 	return !b->configured && !load.in_flight && !load.queued;
 }
 
-/* Requests that wait for a leaving backend server can run elsewhere. */
-static void drain_if_leaving(struct adjacent_backend *b)
-{
-	if (bb_adjacent_is_leaving(b))
-		bb_queue_drain(b->queue, BB_REASON_LEAVING);
-}
-
 void bb_adjacent_configure(struct bb_adjacent *a, struct bb_snapshot *snapshot)
 {
 	const struct bb_config *c = snapshot->config;
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -23,6 +23,7 @@
  * @breaker: circuit breaker
  * @last_answer_us: when it last answered without a server error
  * @started_ms: when it started, by the configuration
+ * @said_leaving: it said in an answer that it is leaving
  * @configured: the current snapshot has it beside this node
  */
 struct adjacent_backend {
@@ -41,6 +42,7 @@
 	struct bb_breaker breaker;
 	int64_t last_answer_us;
 	double started_ms;
+	bool said_leaving;
 	bool configured;
 };
 
@@ -102,8 +104,17 @@
 
 /**
  * bb_adjacent_is_leaving() - whether a backend server accepts no new requests
- * because of its state in the configuration or because its host is leaving.
+ * because of its state in the configuration, because it said so, or because its
+ * host is leaving.
  */
 bool bb_adjacent_is_leaving(const struct adjacent_backend *b);
 
+/**
+ * bb_adjacent_apply_notices() - act on what a backend server said of itself.
+ *
+ * Requests that wait for one that is leaving are refused without a RESULT, see
+ * bb_adjacent_reply_refused().
+ */
+void bb_adjacent_apply_notices(struct adjacent_backend *b);
+
 #endif
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -553,6 +553,8 @@
 		return;
 	n = e->o.dialect->decode_notice(m->headers, m->headers_nr);
 	bb_notices_take(r, &n, t->sent_us, now_us);
+	if (r->leaving && t->path)
+		bb_path_set_leaving(t->path, true);
 }
 
 void bb_entry_result(struct bb_entry *e, const struct bb_message_result *r)
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -132,6 +132,24 @@
 	}
 }
 
+/* What backend servers said before they left the configuration still holds; one
+ * that has started again has said nothing. */
+static void apply_notices(struct bb_entry *e)
+{
+	const struct bb_config *c = e->snapshot->config;
+
+	for (size_t i = 0; e->o.notices && i < c->backends_nr; i++) {
+		const struct bb_backend *b = &c->backends[i];
+		struct bb_path *path =
+			bb_balance_path(e->balances[b->service], (uint32_t)i);
+
+		if (path)
+			bb_path_set_leaving(path, bb_notices_is_leaving(
+							  e->o.notices, b->name,
+							  b->started_ms));
+	}
+}
+
 void bb_entry_set_leaving(struct bb_entry *e, GHashTable *hosts)
 {
 	if (e->leaving_hosts)
@@ -155,5 +173,6 @@
 	bb_entry_carry_over_paths(e, old);
 	/* A backend server may have moved to another host. */
 	apply_leaving(e);
+	apply_notices(e);
 	bb_snapshot_put(old);
 }
--- a/src/libnode/notices.c
+++ b/src/libnode/notices.c
@@ -91,6 +91,7 @@
 	bool changed = !same_notice(&r->last, notice);
 
 	r->last = *notice;
+	r->leaving = r->leaving || notice->leaving;
 	switch (notice->limit) {
 	case BB_LIMIT_NAMED:
 		r->limit_per_s = notice->limit_per_s;
@@ -114,3 +115,14 @@
 
 	return r && r->started_ms == started_ms ? r->limit_per_s : -1;
 }
+
+/* A start before the recorded one is that of a former process, which has left.
+ */
+bool bb_notices_is_leaving(const struct bb_notices *n, const char *backend,
+			   double started_ms)
+{
+	const struct bb_notice_record *r =
+		g_hash_table_lookup(n->records, backend);
+
+	return r && r->leaving && started_ms <= r->started_ms;
+}
--- a/src/libnode/notices.h
+++ b/src/libnode/notices.h
@@ -19,6 +19,7 @@
  * struct bb_notice_record - what one backend server said.
  * @started_ms: wall time at which it started, 0 if unknown
  * @last: notice in its last answer
+ * @leaving: it said that it is leaving; holds until it starts again
  * @limit_per_s: requests per second that it accepts, negative for no limit
  * @limit_named_us: when an answer last named a limit
  * @answered: it answered a request of this node, its adjacent node
@@ -27,6 +28,7 @@
 struct bb_notice_record {
 	double started_ms;
 	struct bb_notice last;
+	bool leaving;
 	double limit_per_s;
 	int64_t limit_named_us;
 	bool answered;
@@ -78,4 +80,13 @@
 double bb_notices_limit(const struct bb_notices *n, const char *backend,
 			double started_ms);
 
+/**
+ * bb_notices_is_leaving() - whether a backend server said that it is leaving.
+ * @n: records
+ * @backend: its name
+ * @started_ms: when it started, 0 if unknown
+ */
+bool bb_notices_is_leaving(const struct bb_notices *n, const char *backend,
+			   double started_ms);
+
 #endif
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -33,6 +33,7 @@
  *                 avoided
  * @avoid_until_us: end of the time set by bb_balance_avoid()
  * @leaving: whether the host is leaving
+ * @said_leaving: whether the backend server said that it is leaving
  * @silent: whether bb_balance_filter_paths() avoids it
  * @name: name of the backend server
  */
@@ -45,6 +46,7 @@
 	uint64_t hint_until_us;
 	uint64_t avoid_until_us;
 	uint32_t leaving;
+	uint32_t said_leaving;
 	uint32_t silent;
 	char *name;
 };
@@ -250,6 +252,12 @@
 	return (int64_t)ck_pr_load_64(&m->path->hint_until_us) > now_us;
 }
 
+static bool is_leaving(const struct member *m)
+{
+	return ck_pr_load_32(&m->path->leaving) ||
+	       ck_pr_load_32(&m->path->said_leaving);
+}
+
 static bool is_avoided(const struct member *m, int64_t now_us)
 {
 	return (int64_t)ck_pr_load_64(&m->path->avoid_until_us) > now_us ||
@@ -261,7 +269,7 @@
 static bool is_eligible(const struct member *m, const uint32_t *excluded,
 			size_t excluded_nr, bool last_resort, int64_t now_us)
 {
-	if (!m->in || ck_pr_load_32(&m->path->leaving) || is_hinted(m, now_us))
+	if (!m->in || is_leaving(m) || is_hinted(m, now_us))
 		return false;
 	if (!last_resort && is_avoided(m, now_us))
 		return false;
@@ -424,8 +432,7 @@
 	for (size_t i = 0; i < b->members_nr; i++) {
 		struct member *m = &b->members[(start + i) % b->members_nr];
 
-		if (m->in && !ck_pr_load_32(&m->path->leaving) &&
-		    !is_avoided(m, now_us))
+		if (m->in && !is_leaving(m) && !is_avoided(m, now_us))
 			best = less_loaded(b, best, m, now_us);
 	}
 	return best ? count_request(best) : none;
@@ -523,6 +530,11 @@
 			ck_pr_store_32(&b->members[i].path->leaving, leaving);
 }
 
+void bb_path_set_leaving(struct bb_path *path, bool leaving)
+{
+	ck_pr_store_32(&path->said_leaving, leaving);
+}
+
 void bb_path_release(struct bb_path *path)
 {
 	ck_pr_dec_32(&path->in_flight);
