--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -22,8 +22,8 @@
  * @idle_connections: connections that libcurl keeps open for reuse
  * @breaker: circuit breaker
  * @last_answer_us: when it last answered without a server error
- * @notice: what it said of itself in its last answer
- * @limit_named_us: when an answer last named a limit
+ * @started_ms: when it started, by the configuration
+ * @said_leaving: it said in an answer that it is leaving
  * @configured: the current snapshot has it beside this node
  */
 struct adjacent_backend {
@@ -41,8 +41,8 @@
 	uint32_t idle_connections;
 	struct bb_breaker breaker;
 	int64_t last_answer_us;
-	struct bb_notice notice;
-	int64_t limit_named_us;
+	double started_ms;
+	bool said_leaving;
 	bool configured;
 };
 
@@ -94,10 +94,27 @@
 
 /* adjacent_config.c */
 
+/**
+ * bb_adjacent_record() - what a backend server said of itself.
+ *
+ * Return: record, NULL if backend servers say nothing.
+ */
+struct bb_notice_record *bb_adjacent_record(const struct adjacent_backend *b,
+					    int64_t now_us);
+
 /**
  * bb_adjacent_is_leaving() - whether a backend server accepts no new requests
- * because of its state in the configuration or because its host is leaving.
+ * because of its state in the configuration, because it said so, or because its
+ * host is leaving.
  */
 bool bb_adjacent_is_leaving(const struct adjacent_backend *b);
 
+/**
+ * bb_adjacent_apply_notices() - act on what a backend server said of itself.
+ *
+ * Requests that wait for one that is leaving are refused without a RESULT, see
+ * bb_adjacent_reply_refused().
+ */
+void bb_adjacent_apply_notices(struct adjacent_backend *b);
+
 #endif
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -17,9 +17,6 @@
 #define DRAWS_MAX 8
 /* Weight of a new report in the moving average of the pool's load. */
 #define MEAN_LOAD_GAIN 0.05
-/* Time for which a report of fewer slots in use holds: a limit on the rate
- * changes less often than the load. */
-#define SLOTS_REPORT_MAX_US (10 * BB_US_PER_S)
 /* Scale of the fixed-point loads, which are kept in integers for atomic access:
  * 1.0 is LOAD_UNIT. */
 #define LOAD_UNIT 1024
@@ -36,6 +33,7 @@
  *                 avoided
  * @avoid_until_us: end of the time set by bb_balance_avoid()
  * @leaving: whether the host is leaving
+ * @said_leaving: whether the backend server said that it is leaving
  * @silent: whether bb_balance_filter_paths() avoids it
  * @name: name of the backend server
  */
@@ -48,6 +46,7 @@
 	uint64_t hint_until_us;
 	uint64_t avoid_until_us;
 	uint32_t leaving;
+	uint32_t said_leaving;
 	uint32_t silent;
 	char *name;
 };
@@ -253,6 +252,12 @@
 	return (int64_t)ck_pr_load_64(&m->path->hint_until_us) > now_us;
 }
 
+static bool is_leaving(const struct member *m)
+{
+	return ck_pr_load_32(&m->path->leaving) ||
+	       ck_pr_load_32(&m->path->said_leaving);
+}
+
 static bool is_avoided(const struct member *m, int64_t now_us)
 {
 	return (int64_t)ck_pr_load_64(&m->path->avoid_until_us) > now_us ||
@@ -264,7 +269,7 @@
 static bool is_eligible(const struct member *m, const uint32_t *excluded,
 			size_t excluded_nr, bool last_resort, int64_t now_us)
 {
-	if (!m->in || ck_pr_load_32(&m->path->leaving) || is_hinted(m, now_us))
+	if (!m->in || is_leaving(m) || is_hinted(m, now_us))
 		return false;
 	if (!last_resort && is_avoided(m, now_us))
 		return false;
@@ -274,16 +279,6 @@
 	return true;
 }
 
-/* Slots that the backend server uses, by the last report of its node. */
-static double slots_in_use(const struct member *m, int64_t now_us)
-{
-	int64_t at = (int64_t)ck_pr_load_64(&m->path->reported_us);
-
-	if (!at || now_us - at >= SLOTS_REPORT_MAX_US)
-		return m->slots;
-	return MIN(m->slots, ck_pr_load_32(&m->path->slots));
-}
-
 /* Estimated load relative to the slots and to the weight, which is scaled to a
  * mean of 1, plus the penalty for another availability zone. */
 static double estimated_load(const struct bb_balance *b, const struct member *m,
@@ -291,8 +286,8 @@
 {
 	double mean = (double)ck_pr_load_64(&b->mean_load) / LOAD_UNIT;
 	uint64_t at = ck_pr_load_64(&m->path->reported_us);
-	double slots = slots_in_use(m, now_us);
-	double others = mean * slots;
+	double others = mean * m->slots;
+	double slots = m->slots;
 	double own = ck_pr_load_32(&m->path->in_flight);
 	double weight = m->weight * (double)b->members_nr / b->total_weight;
 
@@ -310,12 +305,6 @@
 	return (own + others) / (slots * weight) + m->penalty;
 }
 
-/* True with a probability of @p. */
-static bool random_chance(struct bb_balance *b, double p)
-{
-	return p >= 1 || (double)(uint32_t)next_random(b) < p * 4294967296.0;
-}
-
 static struct member *draw_member(struct bb_balance *b)
 {
 	uint64_t r = next_random(b);
@@ -327,16 +316,6 @@
 	return &b->members[m->alias];
 }
 
-/* Whether a member that was drawn is a candidate: it is eligible, and one that
- * uses a part of its slots is passed over as often. */
-static bool accept_draw(struct bb_balance *b, const struct member *m,
-			const uint32_t *excluded, size_t excluded_nr,
-			int64_t now_us)
-{
-	return is_eligible(m, excluded, excluded_nr, false, now_us) &&
-	       random_chance(b, slots_in_use(m, now_us) / m->slots);
-}
-
 static struct member *less_loaded(const struct bb_balance *b, struct member *x,
 				  struct member *y, int64_t now_us)
 {
@@ -384,7 +363,7 @@
 		uint32_t at = b->locals[next_random(b) % b->locals_nr];
 		struct member *m = &b->members[at];
 
-		if (accept_draw(b, m, excluded, excluded_nr, now_us))
+		if (is_eligible(m, excluded, excluded_nr, false, now_us))
 			best = less_loaded(b, best, m, now_us);
 	}
 	return best && estimated_load(b, best, now_us) <= b->local_max_load ?
@@ -410,7 +389,7 @@
 		struct member *m = draw_member(b);
 
 		if (m == first ||
-		    !accept_draw(b, m, excluded, excluded_nr, now_us))
+		    !is_eligible(m, excluded, excluded_nr, false, now_us))
 			continue;
 		if (!first)
 			first = m;
@@ -453,8 +432,7 @@
 	for (size_t i = 0; i < b->members_nr; i++) {
 		struct member *m = &b->members[(start + i) % b->members_nr];
 
-		if (m->in && !ck_pr_load_32(&m->path->leaving) &&
-		    !is_avoided(m, now_us))
+		if (m->in && !is_leaving(m) && !is_avoided(m, now_us))
 			best = less_loaded(b, best, m, now_us);
 	}
 	return best ? count_request(best) : none;
@@ -552,6 +530,11 @@
 			ck_pr_store_32(&b->members[i].path->leaving, leaving);
 }
 
+void bb_path_set_leaving(struct bb_path *path, bool leaving)
+{
+	ck_pr_store_32(&path->said_leaving, leaving);
+}
+
 void bb_path_release(struct bb_path *path)
 {
 	ck_pr_dec_32(&path->in_flight);
