Bound what is read of a response without end

A backend server in trouble may send bytes without end in a head or a body. A head was read and kept until the deadline of the request: 683 MB within 10 s over loopback, where a process may have 160 MB. Each body was bounded by its route only, 64 MiB on the users' deployments, for every slot at once; one over 16 MiB was then dropped, because no RESULT can carry it, and its caller waited for the timeout. A body over the limit counted as the answer of a sound backend server.

Heads, with interim responses and trailers, end at 64 KiB. All bodies in progress share 32 MiB, over which those with more than an even share end, and none is larger than a RESULT carries. A body of unknown length that exceeds the limit counts as truncated, so that the breaker sees a failure.

Executor.EndlessHeadIsEnded and Executor.EndlessBodyIsEnded failed before, and so did Executor.EndlessBodiesShareABudget with eight bodies.

--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -445,7 +445,9 @@
 		.traceparent = bb_adjacent_spans_begin_exchange(
 			&job->spans, &job->request, b->name),
 		.timeout_us = job->request.not_after_us - now_us,
-		.max_body = route ? route->max_body_bytes : BB_BODY_MAX,
+		/* A larger body would not fit into the RESULT. */
+		.max_body = route ? MIN(route->max_body_bytes, BB_BODY_MAX) :
+				    BB_BODY_MAX,
 		.at_most_once = !job->request.idempotent,
 		.dialect = a->o.dialect,
 		.backend_id = b->name,
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -25,6 +25,9 @@
 		      BB_EXECUTION_END_COUNT,
 	      "bb_execution_end_string needs one string per bb_execution_end");
 
+/* Limit on a response head, with interim responses and trailers: several times
+ * what callers may send. */
+#define RESPONSE_HEAD_MAX_BYTES ((size_t)64 * 1024)
 /* Limit on idle connections kept to all backend servers together. */
 #define IDLE_CONNECTIONS_MAX 256L
 /* Status of a server that is not the one the request is for. */
@@ -44,6 +47,7 @@
  * @timer: time-out that libcurl asked for
  * @executions: set of the executions in progress
  * @connections: open connections, as far as libcurl reports them
+ * @body_bytes: sum of the response bodies in progress
  */
 struct bb_executor {
 	GMainContext *context;
@@ -51,6 +55,7 @@
 	GSource *timer;
 	GHashTable *executions;
 	struct bb_connections *connections;
+	size_t body_bytes;
 };
 
 /**
@@ -62,9 +67,11 @@
  * @fd: socket in use, -1 before there is one
  * @reused: the connection was opened before the request started
  * @got_bytes: a byte of the response was received
+ * @head_bytes: size of all heads and trailers so far
  * @head_complete: the head of the final response was received
  * @no_body: the response has no body, as for HEAD
  * @body_length_known: the head tells where the body ends
+ * @has_content_length: the head has the length of the body
  * @not_executed: the response states that the request was not run
  * @foreign: the response belongs to another request
  * @request_id: value of the request id header of the dialect, or NULL
@@ -84,9 +91,11 @@
 	bool reused;
 	bool got_bytes;
 	bool too_large;
+	size_t head_bytes;
 	bool head_complete;
 	bool no_body;
 	bool body_length_known;
+	bool has_content_length;
 	bool not_executed;
 	bool foreign;
 	const struct bb_dialect *dialect;
@@ -107,6 +116,7 @@
 
 	curl_multi_remove_handle(x->executor->multi, x->easy);
 	curl_easy_cleanup(x->easy);
+	x->executor->body_bytes -= x->response_body->len;
 	curl_slist_free_all(x->headers);
 	g_free(x->origin);
 	g_free(x->url);
@@ -131,7 +141,8 @@
 	if (x->not_executed)
 		return BB_EXECUTION_REFUSED;
 	if (x->too_large)
-		return BB_EXECUTION_TOO_LARGE;
+		return x->has_content_length ? BB_EXECUTION_TOO_LARGE :
+					       BB_EXECUTION_TRUNCATED;
 	/*
 	 * The body ended regularly or with its connection; after a reset,
 	 * libcurl reports an error also without a known length.
@@ -159,8 +170,9 @@
 {
 	const struct bb_dialect *d = x->dialect;
 
-	if (bb_header_is(&h->name, "content-length") ||
-	    bb_header_is(&h->name, "transfer-encoding"))
+	if (bb_header_is(&h->name, "content-length"))
+		x->has_content_length = x->body_length_known = true;
+	if (bb_header_is(&h->name, "transfer-encoding"))
 		x->body_length_known = true;
 	if (bb_header_named(&h->name, d->not_executed))
 		x->not_executed = x->head_complete;
@@ -388,17 +400,28 @@
 	return e;
 }
 
+/* Whether a body of this size would exceed the limit on the sum of all, while
+ * the others that are in progress need their shares. */
+static bool is_over_share(const struct bb_executor *e, size_t size, size_t n)
+{
+	return e->body_bytes + n > BB_EXECUTOR_BODIES_MAX_BYTES &&
+	       size > BB_EXECUTOR_BODIES_MAX_BYTES /
+			       MAX(1, g_hash_table_size(e->executions));
+}
+
 static size_t on_body(char *data, size_t size, size_t nr, void *user)
 {
 	struct bb_execution *x = user;
 	size_t n = size * nr;
+	size_t total = x->response_body->len + n;
 
 	x->got_bytes = true;
-	if (x->response_body->len + n > x->max_body) {
+	if (total > x->max_body || is_over_share(x->executor, total, n)) {
 		x->too_large = true;
 		return 0;
 	}
 	g_byte_array_append(x->response_body, (const guint8 *)data, (guint)n);
+	x->executor->body_bytes += n;
 	return n;
 }
 
@@ -408,6 +431,9 @@
 	size_t n = size * nr;
 
 	x->got_bytes = true;
+	x->head_bytes += n;
+	if (x->head_bytes > RESPONSE_HEAD_MAX_BYTES)
+		return 0;
 	/* A status line starts a new head, for example after 100 Continue. */
 	if (n >= 5 && !memcmp(data, "HTTP/", 5)) {
 		g_string_truncate(x->response_head, 0);
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -5,6 +5,10 @@
  * before the first byte of the response. A request that must run at most once
  * therefore gets a new connection, on which libcurl never re-sends.
  *
+ * A backend server in trouble may send bytes without end. A head, with interim
+ * responses and trailers, and a body are read up to a limit, and the bodies of
+ * all responses in progress share one; then the connection is closed.
+ *
  * After a time-out without a byte of response on a reused connection, idle
  * connections to the same backend server are closed by the rules of
  * connections.h.
@@ -23,16 +27,25 @@
 struct bb_executor;
 struct bb_execution;
 
+/*
+ * Largest sum of the response bodies in progress. Over it, each that has more
+ * than an even share is ended. Small enough for a process of 160 MB beside the
+ * copies of a body that is passed on.
+ */
+#define BB_EXECUTOR_BODIES_MAX_BYTES ((size_t)2 * BB_BODY_MAX)
+
 /**
  * enum bb_execution_end - how an execution ended.
  * @BB_EXECUTION_DONE: complete response received
  * @BB_EXECUTION_NOT_SENT: no byte of the request was sent
  * @BB_EXECUTION_TIMEOUT: timed out after at least a part of the request was
  *                        sent
- * @BB_EXECUTION_BROKEN: the connection failed before the response head
+ * @BB_EXECUTION_BROKEN: the connection failed before the end of the response
+ *                       head, or the head exceeds the limit
  * @BB_EXECUTION_TRUNCATED: the response head was received, but the end of the
- *                          body was not
- * @BB_EXECUTION_TOO_LARGE: the response body exceeds the limit
+ *                          body was not; also for a body of unknown length that
+ *                          exceeds the limit
+ * @BB_EXECUTION_TOO_LARGE: the response body has a length over the limit
  * @BB_EXECUTION_REFUSED: the response states that the request was not run
  * @BB_EXECUTION_MISDIRECTED: another backend server answers at the address
  * @BB_EXECUTION_FOREIGN: the response belongs to another request
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -5,8 +5,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <cstring>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "listening_socket.h"
 
@@ -185,3 +188,161 @@
 	EXPECT_NE(std::string::npos, request.find("X-Deadline: 10000\r\n"));
 	EXPECT_NE(std::string::npos, request.find("X-Id: one\r\n"));
 }
+
+namespace
+{
+
+// Accepts connections and sends @first, then @repeat without end on each, until
+// the peer closes it. Counts the bytes that were taken.
+struct EndlessServer {
+	int fd;
+	std::string url;
+	std::atomic<size_t> sent{ 0 }, connections{ 0 }, ended{ 0 };
+	std::thread thread;
+	std::vector<std::thread> workers;
+
+	EndlessServer(const std::string &first, const std::string &repeat,
+		      int accepts)
+	{
+		fd = listening_socket(&url);
+		thread = std::thread([=, this] {
+			for (int i = 0; i < accepts; i++) {
+				int c = accept(fd, nullptr, nullptr);
+
+				connections++;
+				workers.emplace_back(
+					[=, this] { flood(c, first, repeat); });
+			}
+		});
+	}
+	~EndlessServer()
+	{
+		thread.join();
+		for (auto &w : workers)
+			w.join();
+		close(fd);
+	}
+	void flood(int c, const std::string &first, const std::string &repeat)
+	{
+		char buffer[4096];
+		std::string block;
+
+		if (recv(c, buffer, sizeof(buffer), 0) > 0)
+			send(c, first.data(), first.size(), MSG_NOSIGNAL);
+		while (block.size() < 65536)
+			block += repeat;
+		for (;;) {
+			ssize_t n = send(c, block.data(), block.size(),
+					 MSG_NOSIGNAL);
+
+			if (n <= 0)
+				break;
+			sent += (size_t)n;
+		}
+		close(c);
+		ended++;
+	}
+};
+
+// Executes @nr requests at once; returns how they ended.
+std::vector<enum bb_execution_end> execute_all(const std::string &url, int nr,
+					       size_t max_body)
+{
+	GMainContext *context = g_main_context_new();
+	struct bb_executor *e = bb_executor_new(context, nullptr);
+	std::vector<enum bb_execution_end> ends;
+
+	for (int i = 0; i < nr; i++) {
+		struct bb_execution_request r = {};
+
+		r.url = url.c_str();
+		r.target = { "/x", 2 };
+		r.method = { "GET", 3 };
+		r.timeout_us = 10000000;
+		r.max_body = max_body;
+		r.at_most_once = true;
+		r.dialect = &kDialect;
+		bb_executor_start(
+			e, &r,
+			[](void *data, const struct bb_execution_result *x) {
+				((std::vector<enum bb_execution_end> *)data)
+					->push_back(x->end);
+			},
+			&ends, nullptr);
+	}
+	while (ends.size() < (size_t)nr)
+		g_main_context_iteration(context, TRUE);
+	bb_executor_delete(e);
+	g_main_context_unref(context);
+	return ends;
+}
+
+// Bytes that the sockets' buffers may take beyond what the executor keeps.
+constexpr size_t kSocketBytes = 16u << 20;
+
+} // namespace
+
+// Guards against bytes without end in a head, in any form, that are read until
+// the deadline and fill the memory of the node.
+TEST(Executor, EndlessHeadIsEnded)
+{
+	const struct {
+		const char *first, *repeat;
+	} heads[] = {
+		{ "HTTP/1.1 200 OK\r\n", "X-More: of the same\r\n" },
+		{ "HTTP/1.1 200 OK\r\nX-Long: ", "x" },
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "", "garbage" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		  "X-Trailer: more\r\n" },
+	};
+
+	for (auto &h : heads) {
+		gint64 began_us = g_get_monotonic_time();
+		EndlessServer s(h.first, h.repeat, 1);
+		auto ends = execute_all(s.url, 1, 1u << 20);
+
+		EXPECT_TRUE(ends[0] == BB_EXECUTION_BROKEN ||
+			    ends[0] == BB_EXECUTION_TRUNCATED)
+			<< h.first << h.repeat << " "
+			<< bb_execution_end_string[ends[0]];
+		EXPECT_LT(g_get_monotonic_time() - began_us, 3000000)
+			<< h.first << h.repeat;
+		EXPECT_LT(s.sent, kSocketBytes) << h.first << h.repeat;
+	}
+}
+
+// Guards against a body without end that counts as the work of a sound backend
+// server.
+TEST(Executor, EndlessBodyIsEnded)
+{
+	for (auto head : { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+			   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			   "\r\n" }) {
+		bool chunked = strstr(head, "chunked");
+		EndlessServer s(head, chunked ? "4\r\nbody\r\n" : "body", 1);
+
+		EXPECT_EQ(BB_EXECUTION_TRUNCATED,
+			  execute_all(s.url, 1, 1u << 20)[0]);
+		EXPECT_LT(s.sent, (8u << 20) + kSocketBytes);
+	}
+	// A body of a known length is one that this node may not pass on.
+	EndlessServer s("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n",
+			"body", 1);
+	EXPECT_EQ(BB_EXECUTION_TOO_LARGE, execute_all(s.url, 1, 1u << 20)[0]);
+}
+
+// Guards against several bodies without end that together fill the memory of
+// the node, each below the limit of its route.
+TEST(Executor, EndlessBodiesShareABudget)
+{
+	constexpr int kNr = 8;
+	constexpr size_t kMaxBody = 64u << 20;
+	EndlessServer s("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "body",
+			kNr);
+
+	for (auto end : execute_all(s.url, kNr, kMaxBody))
+		EXPECT_EQ(BB_EXECUTION_TRUNCATED, end);
+	EXPECT_LT(s.sent, 2 * BB_EXECUTOR_BODIES_MAX_BYTES +
+				  kNr * (size_t)kSocketBytes);
+}
