--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -71,6 +71,8 @@
 	{ "notices_unreadable_total", "counter",
 	  "Headers of a backend server on its limit or leaving that cannot be "
 	  "decoded." },
+	{ "registry_lists_total", "counter",
+	  "Complete lists read from the registry of backend servers." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
