Directory: what left before a restore of the registry has left

A store that is restored from an older copy lists backend servers as ready that were leaving, and such as have left since. The directory took both at their word: requests would go to them until the lost writes are made again.

The directory keeps for ten minutes, by id and start, which backend servers were leaving or removed. A leaving one stays so until it starts again. New cases in test_directory.

--- a/include/baobabward/directory.h
+++ b/include/baobabward/directory.h
@@ -11,6 +11,11 @@
  * after an outage are dropped only once their backend servers have had time to
  * register again.
  *
+ * The registry may be restored from an older copy. A backend server that was
+ * leaving stays so until it starts again, whatever the copy says, and one whose
+ * entry was removed is used only if the registry still has it when all that was
+ * lost has been written again.
+ *
  * No I/O. Times are microseconds of the caller's monotonic clock. Not thread
  * safe.
  */
@@ -124,6 +129,12 @@
  */
 void bb_directory_registry_up(struct bb_directory *d, int64_t now_us);
 
+/**
+ * bb_directory_registry_restored() - report that the registry was restored from
+ * an older copy; a complete list should follow.
+ */
+void bb_directory_registry_restored(struct bb_directory *d, int64_t now_us);
+
 /**
  * bb_directory_tick() - drop the entries and hosts that are due.
  * @d: directory
--- a/src/libmember/directory.c
+++ b/src/libmember/directory.c
@@ -5,6 +5,10 @@
  * after an outage of the registry, the time by which its backend server must
  * have registered again. bb_directory_tick() drops what is due, and drops
  * nothing while the registry is down.
+ *
+ * A registry that was restored from an older copy has entries of backend servers
+ * that have left since, and has those as ready that were leaving. What was known
+ * of their leaving is therefore kept for some time by id and start.
  */
 #include "baobabward/directory.h"
 
@@ -21,16 +25,35 @@
 /* Longer than a host has no entry while its backend server restarts. */
 #define DEFAULT_HOST_RETENTION_US (60 * BB_US_PER_S)
 
+/* Longer than a backend server takes to leave, and than a copy is old. */
+#define DEPARTURE_RETENTION_US (600 * BB_US_PER_S)
+
 /**
  * struct item - a known entry.
  * @entry: the entry; its strings are owned
  * @listed: part of the list that is being read
  * @drop_us: time at which the missing entry is dropped, INT64_MAX if present
+ * @usable_us: time from which it is in use: later than now for an entry that was
+ *             removed and that a restored registry still has
  */
 struct item {
 	struct bb_directory_entry entry;
 	bool listed;
 	int64_t drop_us;
+	int64_t usable_us;
+};
+
+/**
+ * struct departure - a backend server that was leaving or whose entry was
+ * removed.
+ * @started_ms: its start
+ * @leaving: its entry said that it is leaving
+ * @noted_us: when this was last noted
+ */
+struct departure {
+	int64_t started_ms;
+	bool leaving;
+	int64_t noted_us;
 };
 
 /**
@@ -47,7 +70,10 @@
  * struct bb_directory - see directory.h.
  * @items: struct item by id
  * @hosts: struct host by address
+ * @departures: struct departure by id
  * @registry_up_us: when the registry was last reachable again
+ * @restored_us: when the registry was last restored from a copy
+ * @now_us: time of the last tick
  * @registry_down: the registry does not answer
  * @changed: entries or hosts changed since the last tick
  */
@@ -57,7 +83,10 @@
 	char *self_zone;
 	GTree *items;
 	GTree *hosts;
+	GHashTable *departures;
 	int64_t registry_up_us;
+	int64_t restored_us;
+	int64_t now_us;
 	bool registry_down;
 	bool changed;
 };
@@ -101,7 +130,10 @@
 	d->self_zone = g_strdup(o->self_zone);
 	d->items = g_tree_new_full(compare_names, NULL, NULL, item_delete);
 	d->hosts = g_tree_new_full(compare_names, NULL, NULL, host_delete);
+	d->departures =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->registry_up_us = INT64_MIN / 2;
+	d->restored_us = INT64_MIN / 2;
 	d->changed = true;
 	return d;
 }
@@ -112,6 +144,7 @@
 		return;
 	g_tree_destroy(d->items);
 	g_tree_destroy(d->hosts);
+	g_hash_table_destroy(d->departures);
 	g_free(d->self_address);
 	g_free(d->self_zone);
 	g_free(d);
@@ -148,22 +181,70 @@
 	       a->leaving == b->leaving && a->started_ms == b->started_ms;
 }
 
+static void note_departure(struct bb_directory *d,
+			   const struct bb_directory_entry *e, int64_t now_us)
+{
+	struct departure *x = g_hash_table_lookup(d->departures, e->id);
+
+	if (!x) {
+		x = g_new0(struct departure, 1);
+		g_hash_table_insert(d->departures, g_strdup(e->id), x);
+	}
+	x->leaving = e->leaving ||
+		     (x->leaving && x->started_ms == e->started_ms);
+	x->started_ms = e->started_ms;
+	x->noted_us = now_us;
+}
+
+/* Known departure of the same process; one whose start is unknown cannot be told
+ * from the next. */
+static const struct departure *
+find_departure(const struct bb_directory *d, const struct bb_directory_entry *e)
+{
+	const struct departure *x = g_hash_table_lookup(d->departures, e->id);
+
+	return x && e->started_ms && x->started_ms == e->started_ms ? x : NULL;
+}
+
+/* An entry that was removed is in use at once if it is written again, but if it
+ * may come from the copy, only when it has not been removed again in the time in
+ * which all that was lost is written again. */
+static int64_t usable_time(const struct bb_directory *d, const struct item *i,
+			   const struct departure *x, int64_t now_us)
+{
+	int64_t rewritten_us = d->restored_us + d->o.reregistration_us;
+
+	if (i)
+		return i->usable_us;
+	return x && now_us < rewritten_us ? rewritten_us : now_us;
+}
+
 void bb_directory_put(struct bb_directory *d,
-		      const struct bb_directory_entry *e, int64_t now_us)
+		      const struct bb_directory_entry *written, int64_t now_us)
 {
-	struct item *i = g_tree_lookup(d->items, e->id);
+	struct item *i = g_tree_lookup(d->items, written->id);
+	struct bb_directory_entry entry = *written;
+	const struct bb_directory_entry *e = &entry;
+	const struct departure *x;
+	int64_t usable_us;
 
 	if (i && i->entry.started_ms > e->started_ms) {
 		i->listed = true;
 		return;
 	}
+	x = find_departure(d, e);
+	entry.leaving = e->leaving || (x && x->leaving);
 	update_host(d, e, now_us);
 	if (i && same_entry(&i->entry, e)) {
 		i->listed = true;
 		i->drop_us = INT64_MAX;
 		return;
 	}
+	if (e->leaving)
+		note_departure(d, e, now_us);
+	usable_us = usable_time(d, i, x, now_us);
 	i = g_new0(struct item, 1);
+	i->usable_us = usable_us;
 	i->entry = *e;
 	i->entry.id = g_strdup(e->id);
 	i->entry.service = g_strdup(e->service);
@@ -231,6 +312,13 @@
 	d->registry_down = true;
 }
 
+void bb_directory_registry_restored(struct bb_directory *d, int64_t now_us)
+{
+	d->registry_down = false;
+	d->registry_up_us = now_us;
+	d->restored_us = now_us;
+}
+
 void bb_directory_registry_up(struct bb_directory *d, int64_t now_us)
 {
 	if (d->registry_down)
@@ -255,9 +343,12 @@
 	struct host *h;
 
 	if (s->now_us >= i->drop_us) {
+		note_departure(s->directory, &i->entry, s->now_us);
 		g_ptr_array_add(s->due_keys, key);
 		return FALSE;
 	}
+	if (i->usable_us > s->directory->now_us && i->usable_us <= s->now_us)
+		s->directory->changed = true;
 	h = g_tree_lookup(s->directory->hosts, i->entry.address);
 	if (h)
 		h->last_entry_us = s->now_us;
@@ -285,6 +376,15 @@
 	g_ptr_array_free(s->due_keys, TRUE);
 }
 
+static gboolean is_old_departure(gpointer key, gpointer value, gpointer data)
+{
+	const struct departure *x = value;
+	const struct sweep *s = data;
+
+	(void)key;
+	return s->now_us - x->noted_us >= DEPARTURE_RETENTION_US;
+}
+
 bool bb_directory_tick(struct bb_directory *d, int64_t now_us)
 {
 	struct sweep s = { d, now_us, NULL };
@@ -294,7 +394,10 @@
 	if (!d->registry_down) {
 		remove_due(&s, d->items, collect_due_item);
 		remove_due(&s, d->hosts, collect_due_host);
+		g_hash_table_foreach_remove(d->departures, is_old_departure,
+					    &s);
 	}
+	d->now_us = now_us;
 	changed = d->changed;
 	d->changed = false;
 	return changed;
@@ -302,12 +405,14 @@
 
 /**
  * struct entry_list - construction of the result of bb_directory_entries().
- * @by_address: the item that started last at each address
+ * @by_address: the item in use that started last at each address
  * @entries: their entries in order of ids
+ * @now_us: time of the last tick
  */
 struct entry_list {
 	GHashTable *by_address;
 	GPtrArray *entries;
+	int64_t now_us;
 };
 
 static gboolean index_latest(gpointer key, gpointer value, gpointer data)
@@ -318,6 +423,8 @@
 		g_hash_table_lookup(l->by_address, i->entry.address);
 
 	(void)key;
+	if (i->usable_us > l->now_us)
+		return FALSE;
 	if (!other || other->entry.started_ms < i->entry.started_ms)
 		g_hash_table_replace(l->by_address, i->entry.address, value);
 	return FALSE;
@@ -338,7 +445,7 @@
 						       size_t *nr)
 {
 	struct entry_list l = { g_hash_table_new(g_str_hash, g_str_equal),
-				g_ptr_array_new() };
+				g_ptr_array_new(), d->now_us };
 
 	g_tree_foreach(d->items, index_latest, &l);
 	g_tree_foreach(d->items, list_latest, &l);
--- a/src/test_lib/test_directory.cc
+++ b/src/test_lib/test_directory.cc
@@ -161,3 +161,77 @@
 	x.put("a", "10.0.0.2", 1, true);
 	EXPECT_TRUE(bb_directory_tick(x.d, x.now));
 }
+
+// Guards against requests to a leaving backend server that a restored registry
+// has as ready again, and against one that stays out of use after it has started
+// again.
+TEST(Directory, LeavingOutlivesARestoredRegistry)
+{
+	Directory x;
+
+	x.put("a", "10.0.0.2", 1000, true);
+	x.put("b", "10.0.0.3", 1000, true);
+	EXPECT_EQ("a- b-", x.names());
+	bb_directory_remove(x.d, "b", x.now);
+	EXPECT_EQ("a-", x.names());
+	x.now += 10 * kSecond;
+	bb_directory_registry_restored(x.d, x.now);
+	bb_directory_begin_list(x.d);
+	x.put("a", "10.0.0.2", 1000);
+	x.put("b", "10.0.0.3", 1000);
+	bb_directory_end_list(x.d, x.now);
+	EXPECT_EQ("a-", x.names());
+	x.now += 3 * kSecond;
+	EXPECT_EQ("a- b-", x.names());
+	x.put("a", "10.0.0.2", 2000);
+	EXPECT_EQ("a b-", x.names());
+}
+
+// Guards against requests to a backend server that has left and that only the
+// copy of a restored registry still has, and against one that is kept out of use
+// although its entry stays.
+TEST(Directory, RemovedEntryOfACopyWaits)
+{
+	Directory x;
+
+	x.put("a", "10.0.0.2", 1000);
+	x.put("b", "10.0.0.3", 1000);
+	EXPECT_EQ("a b", x.names());
+	bb_directory_remove(x.d, "a", x.now);
+	bb_directory_remove(x.d, "b", x.now);
+	EXPECT_EQ("", x.names());
+	bb_directory_registry_restored(x.d, x.now);
+	x.put("a", "10.0.0.2", 1000);
+	x.put("b", "10.0.0.3", 1000);
+	x.put("c", "10.0.0.4", 1000);
+	EXPECT_EQ("c", x.names());
+	x.now += 2 * kSecond;
+	bb_directory_remove(x.d, "b", x.now);
+	EXPECT_EQ("c", x.names());
+	x.now += kSecond;
+	EXPECT_TRUE(bb_directory_tick(x.d, x.now));
+	EXPECT_EQ("a c", x.names());
+	// Without a restore, an entry that is written again is used at once.
+	bb_directory_remove(x.d, "a", x.now);
+	EXPECT_EQ("c", x.names());
+	x.put("a", "10.0.0.2", 1000);
+	EXPECT_EQ("a c", x.names());
+}
+
+// Guards against backend servers that are dropped because the copy of a restored
+// registry lacks them.
+TEST(Directory, EntriesThatACopyLacksMayReturn)
+{
+	Directory x;
+
+	x.put("a", "10.0.0.2");
+	x.put("b", "10.0.0.3");
+	bb_directory_registry_restored(x.d, x.now);
+	bb_directory_begin_list(x.d);
+	bb_directory_end_list(x.d, x.now);
+	x.now += 2 * kSecond;
+	EXPECT_EQ("a b", x.names());
+	x.put("b", "10.0.0.3");
+	x.now += kSecond;
+	EXPECT_EQ("b", x.names());
+}
