Feed: list the store again when other nodes have a newer version

A watch may miss a change in other ways than a restore: the waiting watch of a store that compacts its history is one.

--- a/include/baobabward/node.h
+++ b/include/baobabward/node.h
@@ -64,7 +64,9 @@
  * place of a file or the configuration service.
  * @start: begins to deliver; returns 0, or -1 with @err set
  * @stop: no configuration is delivered after it returns
- * @data: passed to both
+ * @newer_version: another node has a newer version than this one; called again
+ *                 from time to time while that is so; NULL if of no use
+ * @data: passed to all of them
  *
  * The feed's reads are linearizable: a configuration that it delivers is in
  * force at once, and each group is held by the nodes that the group's ranking
@@ -74,6 +76,7 @@
 	int (*start)(void *data, const struct bb_feed_target *to,
 		     struct bb_error *err);
 	void (*stop)(void *data);
+	void (*newer_version)(void *data, uint64_t version);
 	void *data;
 };
 
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -37,10 +37,13 @@
 
 	/*
 	 * The pages of a feed have another format and no signature that proves
-	 * them, so they are not taken from peers.
+	 * them, so they are not taken from peers. The feed reads again.
 	 */
-	if (!c->source)
+	if (!c->source) {
+		if (c->o.feed && c->o.feed->newer_version)
+			c->o.feed->newer_version(c->o.feed->data, version);
 		return;
+	}
 	bb_log_info(BB_LOG_CONFIG,
 		    "host %s has version %" G_GUINT64_FORMAT
 		    "; requesting its pages",
