--- a/src/libmember/directory.c
+++ b/src/libmember/directory.c
@@ -33,7 +33,7 @@
  * @entry: the entry; its strings are owned
  * @listed: part of the list that is being read
  * @drop_us: time at which the missing entry is dropped, INT64_MAX if present
- * @usable_us: time from which it is in use: later than now for an entry that was
+ * @usable_us: time from which it is in use, 0 for always; for an entry that was
  *             removed and that a restored registry still has
  */
 struct item {
@@ -73,7 +73,7 @@
  * @departures: struct departure by id
  * @registry_up_us: when the registry was last reachable again
  * @restored_us: when the registry was last restored from a copy
- * @now_us: time of the last tick
+ * @now_us: time of the last tick while the registry was not down
  * @registry_down: the registry does not answer
  * @changed: entries or hosts changed since the last tick
  */
@@ -216,7 +216,7 @@
 
 	if (i)
 		return i->usable_us;
-	return x && now_us < rewritten_us ? rewritten_us : now_us;
+	return x && now_us < rewritten_us ? rewritten_us : 0;
 }
 
 void bb_directory_put(struct bb_directory *d,
@@ -396,8 +396,8 @@
 		remove_due(&s, d->hosts, collect_due_host);
 		g_hash_table_foreach_remove(d->departures, is_old_departure,
 					    &s);
+		d->now_us = now_us;
 	}
-	d->now_us = now_us;
 	changed = d->changed;
 	d->changed = false;
 	return changed;
@@ -407,7 +407,7 @@
  * struct entry_list - construction of the result of bb_directory_entries().
  * @by_address: the item in use that started last at each address
  * @entries: their entries in order of ids
- * @now_us: time of the last tick
+ * @now_us: as in struct bb_directory
  */
 struct entry_list {
 	GHashTable *by_address;
