--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -205,13 +205,14 @@
 		      int accepts)
 	{
 		fd = listening_socket(&url);
-		thread = std::thread([=, this] {
+		thread = std::thread([this, first, repeat, accepts] {
 			for (int i = 0; i < accepts; i++) {
 				int c = accept(fd, nullptr, nullptr);
 
 				connections++;
-				workers.emplace_back(
-					[=, this] { flood(c, first, repeat); });
+				workers.emplace_back([this, c, first, repeat] {
+					flood(c, first, repeat);
+				});
 			}
 		});
 	}
