Count running requests apart from the load that is reported

While a limit allows no start, the load in a RESULT counts all slots as taken, so that entry nodes look elsewhere. Two places used it as a count of requests: a backend server that had left the configuration was kept until the next change if its limit was used up at that moment, and event=executed told more running requests than there were. Both use the queue's counts now. Queue.LoadCountsTheSlotsThatTheRateUses has them beside the load.

--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -135,6 +135,17 @@
  */
 bool bb_queue_has_free_slot(const struct bb_queue *q, int64_t now_us);
 
+/**
+ * bb_queue_running() - number of entries that occupy a slot. Unlike the load, it
+ * does not count slots that a limit on the rate keeps from use.
+ */
+uint32_t bb_queue_running(const struct bb_queue *q);
+
+/**
+ * bb_queue_waiting() - number of entries that wait.
+ */
+uint32_t bb_queue_waiting(const struct bb_queue *q);
+
 /**
  * bb_queue_mean_service_us() - moving average of the measured service time.
  */
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -334,8 +334,7 @@
 			  const struct bb_execution_result *r)
 {
 	const struct bb_bytes *id = caller_request_id(job);
-	struct bb_load load =
-		bb_queue_load(job->backend->queue, bb_clock_now_us());
+	const struct bb_queue *q = job->backend->queue;
 	char name[64];
 
 	if (id)
@@ -352,8 +351,9 @@
 		" new_connection=%d running=%u waiting=%u slots=%u limit=%g",
 		job->backend->name, bb_execution_end_string[r->end], r->status,
 		(job->started_us - job->queue_entry.pushed_us) / BB_US_PER_MS,
-		r->latency_us / BB_US_PER_MS, r->new_connection, load.in_flight,
-		load.queued, load.slots,
+		r->latency_us / BB_US_PER_MS, r->new_connection,
+		bb_queue_running(q), bb_queue_waiting(q),
+		bb_queue_load(q, bb_clock_now_us()).slots,
 		r->notice.limit == BB_LIMIT_NAMED ? r->notice.limit_per_s :
 						    -1.0);
 	if (r->end != BB_EXECUTION_DONE)
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -83,11 +83,11 @@
 static gboolean is_gone(gpointer key, gpointer value, gpointer data)
 {
 	const struct adjacent_backend *b = value;
-	struct bb_load load = bb_queue_load(b->queue, bb_clock_now_us());
 
 	(void)key;
 	(void)data;
-	return !b->configured && !load.in_flight && !load.queued;
+	return !b->configured && !bb_queue_running(b->queue) &&
+	       !bb_queue_waiting(b->queue);
 }
 
 void bb_adjacent_configure(struct bb_adjacent *a, struct bb_snapshot *snapshot)
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -328,6 +328,16 @@
 	bb_pace_set(&q->pace, rate_per_s, now_us);
 }
 
+uint32_t bb_queue_running(const struct bb_queue *q)
+{
+	return q->running;
+}
+
+uint32_t bb_queue_waiting(const struct bb_queue *q)
+{
+	return q->waiting;
+}
+
 int64_t bb_queue_mean_service_us(const struct bb_queue *q)
 {
 	return (int64_t)q->service_us;
--- a/src/test_lib/test_queue.cc
+++ b/src/test_lib/test_queue.cc
@@ -465,6 +465,8 @@
 	bb_queue_set_rate(f.q, 5, now);
 	EXPECT_EQ(2u, bb_queue_load(f.q, now).slots);
 	EXPECT_EQ(2u, bb_queue_load(f.q, now).in_flight);
+	EXPECT_EQ(0u, bb_queue_running(f.q));
+	EXPECT_EQ(0u, bb_queue_waiting(f.q));
 	now += 200 * MS;
 	EXPECT_EQ(0u, bb_queue_load(f.q, now).in_flight);
 	bb_queue_set_rate(f.q, 1000, now);
