--- a/include/baobabward/config.h
+++ b/include/baobabward/config.h
@@ -107,9 +107,19 @@
 	double started_ms;
 };
 
+/* Largest @slots and @max_connections of struct bb_backend. */
+#define BB_BACKEND_SLOTS_MAX 65535
+#define BB_BACKEND_CONNECTIONS_MAX 1000000
 /* Largest @started_ms of struct bb_backend: whole numbers are exact up to it. */
 #define BB_BACKEND_STARTED_MS_MAX 9007199254740992.0
 
+/**
+ * bb_config_is_name() - whether the document takes a string as a name: 1 to
+ * BB_NAME_MAX bytes of printable ASCII without spaces.
+ * @s: string, may be NULL
+ */
+bool bb_config_is_name(const char *s);
+
 /* HTTP methods, as bits of @methods of struct bb_route. */
 enum bb_method {
 	BB_METHOD_GET = 1 << 0,
--- a/src/libconfig/config_columns.c
+++ b/src/libconfig/config_columns.c
@@ -39,8 +39,6 @@
  * needs of any single client account.
  */
 #define RATE_MAX 1000000000.0
-#define SLOTS_MAX 65535
-#define CONNECTIONS_MAX 1000000
 /* Maximum number of services that share one route. */
 #define SPLIT_MAX 64
 /* Number of the lowest priority. */
@@ -88,9 +86,10 @@
 	COLUMN(bb_backend, url, BB_COLUMN_URL, 0, 0, false),
 	COLUMN(bb_backend, weight, BB_COLUMN_REAL, WEIGHT_MIN, WEIGHT_MAX,
 	       false),
-	COLUMN(bb_backend, slots, BB_COLUMN_U32, 1, SLOTS_MAX, false),
-	COLUMN(bb_backend, max_connections, BB_COLUMN_U32, 1, CONNECTIONS_MAX,
+	COLUMN(bb_backend, slots, BB_COLUMN_U32, 1, BB_BACKEND_SLOTS_MAX,
 	       false),
+	COLUMN(bb_backend, max_connections, BB_COLUMN_U32, 1,
+	       BB_BACKEND_CONNECTIONS_MAX, false),
 	COLUMN(bb_backend, state, BB_COLUMN_STATE, 0, 0, false),
 	SPARSE(bb_backend, started_ms, BB_COLUMN_REAL, 0,
 	       BB_BACKEND_STARTED_MS_MAX),
@@ -203,6 +202,13 @@
 	return true;
 }
 
+bool bb_config_is_name(const char *s)
+{
+	size_t size = s ? strlen(s) : 0;
+
+	return size && size <= BB_NAME_MAX && is_printable(s, size);
+}
+
 /* Text of a string value, or NULL unless it is printable without spaces. */
 static const char *read_text(const struct bb_location *location,
 			     const json_t *value, size_t max,
