--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -104,9 +104,9 @@
  * @now_us: current time
  *
  * Backend servers that are not in the state "in", are leaving by their host or
- * their own word, or are avoided are not chosen. Paths avoided because of this node's own timeouts are used as
- * a last resort when no other backend server is eligible; the hints of adjacent
- * nodes are always followed.
+ * their own word, or are avoided are not chosen. Paths avoided because of this
+ * node's own timeouts are used as a last resort when no other backend server is
+ * eligible; the hints of adjacent nodes are always followed.
  *
  * Return: choice, with BB_NO_ROW when no backend server is eligible.
  */
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -387,7 +387,7 @@
 	r->answered = true;
 	if (bb_notices_take(r, n, job->started_us, now_us))
 		log_notice(b, n);
-	bb_adjacent_apply_notices(b);
+	bb_adjacent_apply_notices(b, r, now_us);
 }
 
 static void on_executed(void *data, const struct bb_execution_result *r)
@@ -598,9 +598,12 @@
 				 const struct bb_message_execute *x,
 				 int64_t now_us)
 {
-	struct bb_notice_record *r = bb_adjacent_record(b, now_us);
+	struct bb_notice_record *r;
 
-	if (!r || r->answered || !x->limit_milli)
+	if (!x->limit_milli)
+		return;
+	r = bb_adjacent_record(b, now_us);
+	if (!r || r->answered)
 		return;
 	r->limit_per_s = x->limit_milli / 1000.0;
 	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -35,11 +35,9 @@
 		bb_queue_drain(b->queue, BB_REASON_LEAVING);
 }
 
-void bb_adjacent_apply_notices(struct adjacent_backend *b)
+void bb_adjacent_apply_notices(struct adjacent_backend *b,
+			       const struct bb_notice_record *r, int64_t now_us)
 {
-	int64_t now_us = bb_clock_now_us();
-	const struct bb_notice_record *r = bb_adjacent_record(b, now_us);
-
 	if (!r)
 		return;
 	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
@@ -59,6 +57,7 @@
 		.refuse = bb_adjacent_queue_refused,
 		.data = a,
 	};
+	int64_t now_us;
 
 	if (!b) {
 		b = g_new0(struct adjacent_backend, 1);
@@ -77,7 +76,8 @@
 	b->started_ms = row->started_ms;
 	apply_limits(b);
 	b->configured = true;
-	bb_adjacent_apply_notices(b);
+	now_us = bb_clock_now_us();
+	bb_adjacent_apply_notices(b, bb_adjacent_record(b, now_us), now_us);
 }
 
 static gboolean is_gone(gpointer key, gpointer value, gpointer data)
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -111,10 +111,15 @@
 
 /**
  * bb_adjacent_apply_notices() - act on what a backend server said of itself.
+ * @b: the backend server
+ * @r: what it said, NULL for nothing
+ * @now_us: current time
  *
  * Requests that wait for one that is leaving are refused without a RESULT, see
  * bb_adjacent_reply_refused().
  */
-void bb_adjacent_apply_notices(struct adjacent_backend *b);
+void bb_adjacent_apply_notices(struct adjacent_backend *b,
+			       const struct bb_notice_record *r,
+			       int64_t now_us);
 
 #endif
