Relay changes of the registry between nodes

Cause: each node watched the registry, 0.7 to 0.9 calls a node and second at every size. Change: of each group of hosts the first live ones in the order of a hash read; the others ask one of them for changes, with the era, the revision and the age of the evidence. What is too old, of another era, goes back or does not arrive in time is dropped, and the node reads the registry itself at once.

--- a/include/baobabward/node.h
+++ b/include/baobabward/node.h
@@ -38,6 +38,7 @@
 extern const char *const bb_node_state_string[];
 
 struct bb_node;
+struct bb_relay;
 
 /**
  * bb_feed_accept_fn() - take over a configuration from a feed.
@@ -51,11 +52,14 @@
  * struct bb_feed_target - receiver of the configurations of a feed.
  * @context: main context of the control thread, on which the feed runs
  * @accept: called on the control thread for each configuration
+ * @relay: passes changes of the registry between nodes; the feed notes there
+ *         what it reads, and may read from a peer
  * @node: passed to @accept
  */
 struct bb_feed_target {
 	GMainContext *context;
 	bb_feed_accept_fn *accept;
+	struct bb_relay *relay;
 	void *node;
 };
 
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -62,6 +62,10 @@
  *           group cannot be reached
  * @draw_wait_ms: maximum wait of a request for a token of the rate limit
  * @booking_wait_ms: maximum wait of a non-idempotent request in a queue
+ * @registry_apply_ms: time within which a change of the registry of backend
+ *                     servers must be known
+ * @registry_hosts_per_reader: hosts for each node that reads the registry, 0
+ *                             to let every node read
  * @config_file: path of a configuration document, or NULL
  * @config_url: base URL of the configuration service, or NULL
  * @config_public_key: operators' Ed25519 public key in hexadecimal, required
@@ -104,6 +108,8 @@
 	uint32_t reserve;
 	uint32_t draw_wait_ms;
 	uint32_t booking_wait_ms;
+	uint32_t registry_apply_ms;
+	uint32_t registry_hosts_per_reader;
 	char *config_file;
 	char *config_url;
 	char *config_public_key;
--- a/include/baobabward/wire.h
+++ b/include/baobabward/wire.h
@@ -35,6 +35,9 @@
 #define BB_HEADER_VALUE_MAX 16384
 /* Longest page of the configuration, in bytes. */
 #define BB_PAGE_MAX (1u << 20)
+/* Longest key and value of an item of the registry, in bytes. */
+#define BB_REGISTRY_KEY_MAX 256
+#define BB_REGISTRY_VALUE_MAX (1u << 20)
 /* Largest encoded message, in bytes: a body and 1 MiB for everything else. */
 #define BB_WIRE_SIZE_MAX (BB_BODY_MAX + (1u << 20))
 /*
@@ -71,6 +74,8 @@
 	BB_MESSAGE_RECORD_TRANSFER,
 	BB_MESSAGE_SUMMARY_REQUEST,
 	BB_MESSAGE_SUMMARY,
+	BB_MESSAGE_REGISTRY_READ,
+	BB_MESSAGE_REGISTRY_CHANGES,
 	BB_MESSAGE_TYPE_COUNT
 };
 
@@ -653,6 +658,75 @@
 	size_t items_nr;
 };
 
+/**
+ * struct bb_message_registry_read - asks a node for changes of the registry.
+ * @nonce: copied to the answer
+ * @era: era of the registry that the sender knows, -1 if unknown
+ * @after: revision whose changes the sender has
+ * @wait_ms: time for which the answer may wait for a change
+ */
+struct bb_message_registry_read {
+	uint64_t nonce;
+	int64_t era;
+	uint64_t after;
+	uint32_t wait_ms;
+};
+
+/**
+ * struct bb_registry_item - an item of the registry.
+ * @key: its key
+ * @value: its value, empty if @removed
+ * @revision: revision of its last change
+ * @removed: it was removed
+ */
+struct bb_registry_item {
+	struct bb_bytes key;
+	struct bb_bytes value;
+	uint64_t revision;
+	bool removed;
+};
+
+/**
+ * enum bb_registry_answer - whether a node can tell the changes.
+ * @BB_REGISTRY_CHANGES: it can
+ * @BB_REGISTRY_STALE: its evidence of the registry is too old, or it is stopping
+ * @BB_REGISTRY_OTHER_ERA: it knows the registry in another era
+ * @BB_REGISTRY_BEHIND: it knows less than the node that asks
+ * @BB_REGISTRY_HISTORY: it no longer knows all removals after that revision, or
+ *                       the changes do not fit in a message
+ */
+enum bb_registry_answer {
+	BB_REGISTRY_CHANGES,
+	BB_REGISTRY_STALE,
+	BB_REGISTRY_OTHER_ERA,
+	BB_REGISTRY_BEHIND,
+	BB_REGISTRY_HISTORY,
+	BB_REGISTRY_ANSWER_COUNT
+};
+
+/* In the order of enum bb_registry_answer. */
+extern const char *const bb_registry_answer_string[];
+
+/**
+ * struct bb_message_registry_changes - answer to a registry read.
+ * @nonce: of the read
+ * @answer: whether the fields below hold
+ * @era: era of the registry, -1 if unknown
+ * @revision: all changes after the revision of the read, up to this one, are in
+ *            @items
+ * @age_ms: upper bound of the time since the registry was at @revision
+ * @items: items that changed, each as it is now
+ */
+struct bb_message_registry_changes {
+	uint64_t nonce;
+	enum bb_registry_answer answer;
+	int64_t era;
+	uint64_t revision;
+	uint32_t age_ms;
+	struct bb_registry_item *items;
+	size_t items_nr;
+};
+
 /**
  * struct bb_message - a message of any type.
  * @type: selects the member of the union
@@ -685,6 +759,8 @@
 		struct bb_message_record_transfer record_transfer;
 		struct bb_message_summary_request summary_request;
 		struct bb_message_summary summary;
+		struct bb_message_registry_read registry_read;
+		struct bb_message_registry_changes registry_changes;
 	};
 };
 
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -73,6 +73,14 @@
 	  "decoded." },
 	{ "registry_lists_total", "counter",
 	  "Complete lists read from the registry of backend servers." },
+	{ "registry_reads_total", "counter",
+	  "Requests to the registry of backend servers." },
+	{ "registry_relayed_total", "counter",
+	  "Answers of peers about changes of the registry that were used." },
+	{ "registry_relay_failures_total", "counter",
+	  "Reads of the registry through a peer that failed or were refused." },
+	{ "registry_answers_total", "counter",
+	  "Answers to peers about changes of the registry." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -10,6 +10,7 @@
 #include "baobabward/member.h"
 #include "baobabward/metrics.h"
 #include "baobabward/permit.h"
+#include "baobabward/relay.h"
 #include "liblimit/preferred_holder.h"
 #include "libnode/control_private.h"
 #include "libnode/endpoint.h"
@@ -92,6 +93,11 @@
 	return bb_member_stopping(c->member, host);
 }
 
+static bool is_relay_alive(void *data, uint32_t host, int64_t now_us)
+{
+	return is_alive(data, host, now_us) && !is_stopping(data, host, now_us);
+}
+
 static bool may_lend(void *data, int64_t now_us)
 {
 	struct bb_control *c = data;
@@ -242,6 +248,11 @@
 	case BB_MESSAGE_SUMMARY:
 		bb_health_monitor_receive(c->health_monitor, host, m, now_us);
 		break;
+	case BB_MESSAGE_REGISTRY_READ:
+	case BB_MESSAGE_REGISTRY_CHANGES:
+		if (c->relay)
+			bb_relay_receive(c->relay, host, m, now_us);
+		break;
 	case BB_MESSAGE_RECORD_REPLY:
 		bb_control_receive_record_reply(c, &m->record_reply);
 		break;
@@ -298,6 +309,20 @@
 	bb_drawer_tick(c->drawer, bb_clock_now_us());
 }
 
+static void create_relay(struct bb_control *c)
+{
+	struct bb_relay_options ro = {
+		.self = c->o.settings->host,
+		.apply_us = c->o.settings->registry_apply_ms * BB_US_PER_MS,
+		.hosts_per_reader = c->o.settings->registry_hosts_per_reader,
+		.send = bb_control_send,
+		.alive = is_relay_alive,
+		.data = c,
+	};
+
+	c->relay = bb_relay_new(&ro);
+}
+
 struct bb_control *bb_control_new(const struct bb_control_options *o,
 				  struct bb_error *err)
 {
@@ -311,6 +336,8 @@
 	c->queries = bb_mailbox_new(QUERIES_MAX, err);
 	c->observations = bb_mailbox_new(OBSERVATIONS_MAX, err);
 	c->draw_wakeups = bb_mailbox_new(DRAW_WAKEUPS_MAX, err);
+	if (o->feed)
+		create_relay(c);
 	if (!c->queries || !c->observations || !c->draw_wakeups ||
 	    bb_control_start_source(c, err)) {
 		bb_control_delete(c);
@@ -471,6 +498,20 @@
 
 /* Periodic work. */
 
+static json_t *registry_status(const struct bb_control *c, int64_t now_us)
+{
+	struct bb_relay_status s;
+
+	if (!c->relay)
+		return json_null();
+	bb_relay_status(c->relay, now_us, &s);
+	return json_pack("{s:s?, s:I, s:I, s:I}", "upstream", s.upstream,
+			 "revision", (json_int_t)s.revision, "age_ms",
+			 (json_int_t)(s.age_us < 0 ? -1 :
+						     s.age_us / BB_US_PER_MS),
+			 "peers_waiting", (json_int_t)s.waiting);
+}
+
 static void publish_status(struct bb_control *c, int64_t now_us)
 {
 	json_t *o;
@@ -484,7 +525,7 @@
 	if (agreed_ms > 0)
 		agreed_ms /= BB_US_PER_MS;
 	o = json_pack(
-		"{s:I, s:b, s:b, s:I, s:I, s:I, s:I, s:o, s:o}",
+		"{s:I, s:b, s:b, s:I, s:I, s:I, s:I, s:o, s:o, s:o}",
 		"automation_agreed_ms", agreed_ms, "current",
 		(int)bb_member_current(c->member, now_us), "quorum",
 		(int)bb_member_has_quorum(c->member, now_us), "highest_version",
@@ -493,7 +534,7 @@
 		"groups_held", (json_int_t)bb_holder_groups(c->holder, now_us),
 		"accounts_in_use", (json_int_t)bb_drawer_accounts(c->drawer),
 		"host_list", bb_host_list_status(c->host_list, now_us),
-		"backends",
+		"registry", registry_status(c, now_us), "backends",
 		in_force ? bb_health_monitor_status(c->health_monitor, now_us) :
 			   json_array());
 	text = json_dumps(o, JSON_COMPACT);
@@ -521,6 +562,8 @@
 	bb_holder_tick(c->holder, now_us);
 	bb_grantor_tick(c->grantor, now_us);
 	bb_drawer_tick(c->drawer, now_us);
+	if (c->relay)
+		bb_relay_tick(c->relay, now_us);
 	bb_records_tick(c->records, now_us);
 	bb_permits_tick(c->permits, now_us);
 	bb_health_monitor_tick(c->health_monitor, now_us);
@@ -659,6 +702,7 @@
 	bb_endpoint_delete(c->endpoint);
 	if (c->o.feed)
 		c->o.feed->stop(c->o.feed->data);
+	bb_relay_delete(c->relay);
 	bb_source_delete(c->source);
 	bb_control_delete_queries(c);
 	delete_mailbox(c->observations, free_observation);
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -182,6 +182,8 @@
 {
 	if (c->config_in_force || !bb_member_in_force(c->member))
 		return;
+	if (c->relay)
+		bb_relay_set_config(c->relay, bb_control_config(c));
 	bb_control_configure_modules(c, now_us);
 	ck_pr_store_uint(&c->config_in_force, 1);
 	report_in_force(c);
@@ -205,6 +207,8 @@
 			"cannot update peers to the new configuration: %s",
 			err.message);
 	bb_outbox_set_self(c->outbox, snapshot->self);
+	if (c->relay)
+		bb_relay_set_config(c->relay, bb_control_config(c));
 	if (c->config_in_force)
 		bb_control_configure_modules(c, now_us);
 	bb_control_publish_current(c);
@@ -295,6 +299,7 @@
 	struct bb_feed_target to = {
 		.context = c->o.context,
 		.accept = on_accepted,
+		.relay = c->relay,
 		.node = c,
 	};
 
--- a/src/libnode/control_private.h
+++ b/src/libnode/control_private.h
@@ -9,12 +9,14 @@
 
 #include <glib.h>
 
+#include "baobabward/relay.h"
 #include "baobabward/source.h"
 #include "libnode/control.h"
 
 /**
  * struct bb_control - state of the control thread.
  * @source: reads the configuration, NULL with a feed
+ * @relay: passes changes of the registry between nodes, NULL without a feed
  * @source_fd_watch: event source on the file descriptor of @source
  * @started: all modules exist; set by bb_control_start()
  * @snapshot: newest accepted configuration; counted reference
@@ -44,6 +46,7 @@
 	struct bb_control_options o;
 	GRand *random;
 	struct bb_source *source;
+	struct bb_relay *relay;
 	GSource *source_fd_watch;
 	GSource *source_timer;
 	struct bb_endpoint *endpoint;
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -123,6 +123,14 @@
 	  "longest wait of a request for a token of the rate limit" },
 	{ "booking-wait-ms", SETTING_NUMBER, OFFSET(booking_wait_ms), "250", 1,
 	  60000, "MS", "longest wait of a non-idempotent request in a queue" },
+	{ "registry-apply-ms", SETTING_NUMBER, OFFSET(registry_apply_ms),
+	  "2000", 200, 60000, "MS",
+	  "time within which a change of the registry of backend servers must "
+	  "be known" },
+	{ "registry-hosts-per-reader", SETTING_NUMBER,
+	  OFFSET(registry_hosts_per_reader), "32", 0, 4096, "N",
+	  "hosts for each node that reads the registry; the others hear of "
+	  "changes from it, 0 to let every node read" },
 	{ "config-file", SETTING_TEXT, OFFSET(config_file), NULL, 0, 0, "FILE",
 	  "configuration document; read again when it changes" },
 	{ "config-url", SETTING_URL, OFFSET(config_url), NULL, 0, 0, "URL",
--- a/src/libwire/wire_layout.c
+++ b/src/libwire/wire_layout.c
@@ -337,6 +337,31 @@
 	F_LIST(bb_message_summary, items, BB_LIST_MAX, summary_item),
 };
 
+static const struct bb_field registry_read_fields[] = {
+	F_U64(bb_message_registry_read, nonce),
+	F_I64(bb_message_registry_read, era),
+	F_U64(bb_message_registry_read, after),
+	F_U32(bb_message_registry_read, wait_ms),
+};
+
+static const struct bb_field registry_item_fields[] = {
+	F_BYTES(bb_registry_item, key, BB_REGISTRY_KEY_MAX),
+	F_BYTES(bb_registry_item, value, BB_REGISTRY_VALUE_MAX),
+	F_U64(bb_registry_item, revision),
+	F_BOOL(bb_registry_item, removed),
+};
+static const struct bb_layout registry_item =
+	LAYOUT(registry_item_fields, struct bb_registry_item);
+
+static const struct bb_field registry_changes_fields[] = {
+	F_U64(bb_message_registry_changes, nonce),
+	F_ENUM(bb_message_registry_changes, answer, BB_REGISTRY_ANSWER_COUNT),
+	F_I64(bb_message_registry_changes, era),
+	F_U64(bb_message_registry_changes, revision),
+	F_U32(bb_message_registry_changes, age_ms),
+	F_LIST(bb_message_registry_changes, items, BB_LIST_MAX, registry_item),
+};
+
 /* In the order of enum bb_message_type. */
 const struct bb_layout bb_wire_layouts[] = {
 	LAYOUT(hello_fields, struct bb_message_hello),
@@ -360,6 +385,8 @@
 	LAYOUT(record_transfer_fields, struct bb_message_record_transfer),
 	LAYOUT(summary_request_fields, struct bb_message_summary_request),
 	LAYOUT(summary_fields, struct bb_message_summary),
+	LAYOUT(registry_read_fields, struct bb_message_registry_read),
+	LAYOUT(registry_changes_fields, struct bb_message_registry_changes),
 };
 
 static_assert(sizeof(bb_wire_layouts) / sizeof(*bb_wire_layouts) ==
@@ -367,15 +394,24 @@
 	      "bb_wire_layouts must have a layout for each message type");
 
 const char *const bb_message_type_string[] = {
-	"hello",   "welcome",	     "execute",		"result",
-	"cancel",  "digest-request", "digest",		"page-request",
-	"page",	   "lease-request",  "lease-grant",	"lease-release",
-	"draw",	   "draw-grant",     "permit-request",	"permit-grant",
-	"record",  "record-reply",   "record-transfer", "summary-request",
-	"summary",
+	"hello",   "welcome",	     "execute",		 "result",
+	"cancel",  "digest-request", "digest",		 "page-request",
+	"page",	   "lease-request",  "lease-grant",	 "lease-release",
+	"draw",	   "draw-grant",     "permit-request",	 "permit-grant",
+	"record",  "record-reply",   "record-transfer",	 "summary-request",
+	"summary", "registry-read",  "registry-changes",
 };
 
 static_assert(sizeof(bb_message_type_string) /
 			      sizeof(*bb_message_type_string) ==
 		      BB_MESSAGE_TYPE_COUNT,
 	      "bb_message_type_string must have a name for each message type");
+
+const char *const bb_registry_answer_string[] = {
+	"changes", "stale", "other-era", "behind", "history",
+};
+
+static_assert(sizeof(bb_registry_answer_string) /
+			      sizeof(*bb_registry_answer_string) ==
+		      BB_REGISTRY_ANSWER_COUNT,
+	      "bb_registry_answer_string must have a name for each answer");
--- a/src/test_lib/test_wire.cc
+++ b/src/test_lib/test_wire.cc
@@ -28,6 +28,10 @@
 		{ bytes("b"), 1, 64, 10, 2000, 300, 5000 },
 		{ bytes("c"), 4, 0, 0, 0, 0, 0 }
 	};
+	struct bb_registry_item items[2] = {
+		{ bytes("servers/1"), bytes("{}"), 7, false },
+		{ bytes("servers/2"), { nullptr, 0 }, 8, true }
+	};
 	struct bb_record_entry entries[2] = {};
 	struct bb_digest_section sections[2] = {
 		{ 7, 8, bytes("\x05\x80"), bytes("\x01\x02\xff"),
@@ -149,6 +153,15 @@
 		case BB_MESSAGE_SUMMARY:
 			m.summary = { summaries, 2 };
 			break;
+		case BB_MESSAGE_REGISTRY_READ:
+			m.registry_read = { 1, -1, UINT64_MAX, 750 };
+			break;
+		case BB_MESSAGE_REGISTRY_CHANGES:
+			m.registry_changes = { 1,  BB_REGISTRY_HISTORY,
+					       3,  UINT64_MAX,
+					       40, items,
+					       2 };
+			break;
 		case BB_MESSAGE_RECORD_TRANSFER:
 			m.record_transfer = {
 				1,    BB_TRANSFER_PART, 9, 2, 4, 3,
