Use a subset of the backend servers of a large service at each node

Cause: each entry node sent requests to every backend server of a service, so that every pair of nodes had connections both ways. A connection costs 31 to 57 KB at either end (libzmq, measured in a scratch program: 300 DEALERs, 1 to 200 messages each); a node had 8, 20.5 and 48.7 MB at 24, 104 and 353 machines.

--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -9,6 +9,15 @@
  * moves from the reported load to the mean of the pool, so that an old report
  * neither attracts nor repels all requests.
  *
+ * In a large pool each node uses a subset: an eighth of the backend servers, and
+ * at least a given number, so that connections and what has to be known of each
+ * grow more slowly than the fleet. Each pair of a node and a backend server has
+ * a rank by a hash; the subset has the first ones, of the own availability zone
+ * and of the others by turns. So each backend server is in about as many subsets
+ * as any other, one that joins is in its share of them at once, and one that
+ * leaves changes no more than that. Members that cannot be chosen at present do
+ * not count: the subset is widened by as many, up to the whole pool.
+ *
  * A struct bb_balance is made from one configuration snapshot, which fixes its
  * backend servers and weights. What was learned about a backend server is in a
  * struct bb_path, which is shared with the balance of the next snapshot and
@@ -55,6 +64,8 @@
  * @local_max_load: the better of two backend servers drawn in this node's
  *                  availability zone is chosen without comparing other zones if
  *                  its load is at most this; 0 to draw over all zones
+ * @subset: smallest size of the subset, 0 to use the whole pool
+ * @self: name of this host; required with @subset
  * @stale_us: age at which a report has half of its weight; 20 ms if 0
  * @seed: seed of the random choices
  * @previous: balance of an earlier snapshot to share paths with, or NULL
@@ -65,6 +76,8 @@
 	uint32_t zone_id;
 	double zone_penalty;
 	double local_max_load;
+	uint32_t subset;
+	const char *self;
 	int64_t stale_us;
 	uint64_t seed;
 	const struct bb_balance *previous;
@@ -123,7 +136,7 @@
  * @now_us: current time
  *
  * For a request that will wait for a slot, after its slot searches have brought
- * recent load reports. Looks at every backend server of the service.
+ * recent load reports. Looks at every backend server of the subset.
  *
  * Return: choice, with BB_NO_ROW when no backend server is eligible.
  */
@@ -220,6 +233,13 @@
  */
 void bb_path_set_leaving(struct bb_path *path, bool leaving);
 
+/**
+ * bb_balance_subset() - number of backend servers that are chosen from now.
+ * @b: balance
+ * @now_us: current time
+ */
+size_t bb_balance_subset(struct bb_balance *b, int64_t now_us);
+
 /**
  * bb_path_release() - count the end of a request on the path, whatever its
  * outcome, and drop the reference that the choice holds.
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -49,6 +49,8 @@
  * @breaker: redirect requests at once from backend servers that fail
  * @ejections: eject backend servers
  * @probes: probe backend servers that have few requests
+ * @subset: smallest number of backend servers of a service that the node uses, 0
+ *          for all
  * @slot_searches: number of backend servers that a request asks for a free slot
  *                 before it waits for one
  * @local_percent: load of backend servers, in percent, up to which those of the
@@ -100,6 +102,7 @@
 	uint32_t breaker;
 	uint32_t ejections;
 	uint32_t probes;
+	uint32_t subset;
 	uint32_t slot_searches;
 	uint32_t local_percent;
 	uint32_t report_stale_ms;
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -105,6 +105,8 @@
 						       c->hosts[self].zone_id,
 			.zone_penalty = -1,
 			.local_max_load = e->o.local_percent / 100.0,
+			.subset = self == BB_NO_ROW ? 0 : e->o.subset,
+			.self = self == BB_NO_ROW ? NULL : c->hosts[self].name,
 			.stale_us = e->o.report_stale_us,
 			.seed = e->o.incarnation + i,
 			.previous =
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -99,6 +99,9 @@
 	  "eject backend servers; 0 leaves failing ones to the breaker" },
 	{ "probes", SETTING_NUMBER, OFFSET(probes), "1", 0, 1, "0|1",
 	  "probe backend servers that have few requests" },
+	{ "subset", SETTING_NUMBER, OFFSET(subset), "0", 0, 4096, "N",
+	  "backend servers of a service that the node uses: an eighth, and at "
+	  "least so many; 0 for all" },
 	{ "slot-searches", SETTING_NUMBER, OFFSET(slot_searches), "0", 0, 8,
 	  "N",
 	  "backend servers that a request asks for a free slot before it waits "
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -365,6 +365,7 @@
 		.is_connected = is_connected,
 		.retry_percent = s->retry_percent,
 		.retry_slack = s->retry_slack,
+		.subset = s->subset,
 		.slot_searches = s->slot_searches,
 		.local_percent = s->local_percent,
 		.report_stale_us = s->report_stale_ms * BB_US_PER_MS,
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "baobabward/clock.h"
 
@@ -15,6 +16,10 @@
 /* Random draws before all backend servers are scanned. If half of the pool is
  * not eligible, 0.4% of the choices need the scan. */
 #define DRAWS_MAX 8
+/* A subset is this part of a pool, and at least the size in the options. */
+#define SUBSET_DIVISOR 8
+/* Interval at which the subset is adapted to the members that can be chosen. */
+#define SUBSET_INTERVAL_US (100 * BB_US_PER_MS)
 /* Weight of a new report in the moving average of the pool's load. */
 #define MEAN_LOAD_GAIN 0.05
 /* Scale of the fixed-point loads, which are kept in integers for atomic access:
@@ -60,6 +65,8 @@
  * @threshold: probability with which this member is kept when drawn
  * @weight: configured weight, 0 if not in use
  * @penalty: load added because of its availability zone
+ * @rank: position in the order of this node's subset, by a hash
+ * @local: in this node's availability zone
  * @in: the configuration has it in use, with a weight above 0
  */
 struct member {
@@ -71,12 +78,21 @@
 	double threshold;
 	double weight;
 	double penalty;
+	uint64_t rank;
+	bool local;
 	bool in;
 };
 
 /**
  * struct bb_balance - load balancer of one service.
- * @locals: indexes of the members in this node's availability zone
+ * @locals: indexes of the members in this node's availability zone, in the order
+ *          of the subset
+ * @order: indexes of all members in the order of the subset
+ * @subset: number of members that can be chosen which the subset should have
+ * @window: the subset is the first so many of @order
+ * @local_window: and of @locals
+ * @window_us: time at which both were last set
+ * @max_weight: largest weight of a member
  * @local_max_load: see struct bb_balance_options
  * @paths_by_name: paths of the members by name of the backend server
  * @total_weight: sum of the weights of all members
@@ -93,6 +109,12 @@
 	size_t members_nr;
 	uint32_t *locals;
 	size_t locals_nr;
+	uint32_t *order;
+	size_t subset;
+	uint32_t window;
+	uint32_t local_window;
+	uint64_t window_us;
+	double max_weight;
 	double local_max_load;
 	GHashTable *paths_by_name;
 	double total_weight;
@@ -190,6 +212,53 @@
 	g_free(large);
 }
 
+/* The backend server on this node's own host comes first. */
+static uint64_t rank_of(const struct bb_balance_options *o,
+			const struct bb_host *host, const char *backend)
+{
+	if (!o->subset || !strcmp(host->name, o->self))
+		return 0;
+	return XXH3_64bits_withSeed(backend, strlen(backend),
+				    XXH3_64bits(o->self, strlen(o->self)));
+}
+
+static gint compare_ranks(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct bb_balance *of = data;
+	const struct member *x = &of->members[*(const uint32_t *)a];
+	const struct member *y = &of->members[*(const uint32_t *)b];
+
+	return (x->rank > y->rank) - (x->rank < y->rank);
+}
+
+/* Orders the members for the subset: by rank, those of this node's availability
+ * zone and the others by turns while there are both. */
+static void build_order(struct bb_balance *b)
+{
+	uint32_t *ranked = g_new(uint32_t, b->members_nr);
+	size_t nr[2] = { 0, 0 };
+	size_t i;
+
+	for (i = 0; i < b->members_nr; i++)
+		ranked[i] = (uint32_t)i;
+	g_qsort_with_data(ranked, (gint)b->members_nr, sizeof(*ranked),
+			  compare_ranks, b);
+	for (i = 0; i < b->members_nr; i++)
+		if (b->members[ranked[i]].local)
+			b->locals[b->locals_nr++] = ranked[i];
+	/* The first of either kind goes to an even place of the common order. */
+	for (i = 0; i < b->members_nr; i++) {
+		bool local = b->members[ranked[i]].local;
+		size_t others = local ? b->members_nr - b->locals_nr :
+					b->locals_nr;
+		size_t at = nr[local]++;
+
+		b->order[at < others ? 2 * at + !local : at + others] =
+			ranked[i];
+	}
+	g_free(ranked);
+}
+
 static void add_member(struct bb_balance *b, const struct bb_balance_options *o,
 		       uint32_t handle)
 {
@@ -203,12 +272,13 @@
 	m->in = row->state == BB_BACKEND_IN && row->weight > 0;
 	m->weight = m->in ? row->weight : 0;
 	m->path = get_path(o->previous, row->name);
-	if (host->zone_id == o->zone_id)
-		b->locals[b->locals_nr++] = (uint32_t)(b->members_nr - 1);
-	else
+	m->rank = rank_of(o, host, row->name);
+	m->local = host->zone_id == o->zone_id;
+	if (!m->local)
 		m->penalty = o->zone_penalty < 0 ? DEFAULT_ZONE_PENALTY :
 						   o->zone_penalty;
 	b->total_weight += m->weight;
+	b->max_weight = MAX(b->max_weight, m->weight);
 	g_hash_table_insert(b->paths_by_name, m->path->name, m->path);
 }
 
@@ -219,6 +289,7 @@
 
 	b->members = g_new0(struct member, s->backends_nr);
 	b->locals = g_new0(uint32_t, s->backends_nr);
+	b->order = g_new0(uint32_t, s->backends_nr);
 	b->local_max_load = o->local_max_load;
 	b->paths_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	b->floor_percent = s->floor_percent;
@@ -230,6 +301,9 @@
 	}
 	for (size_t i = 0; i < s->backends_nr; i++)
 		add_member(b, o, s->backends[i]);
+	build_order(b);
+	b->subset = o->subset ? MAX(o->subset, b->members_nr / SUBSET_DIVISOR) :
+				b->members_nr;
 	if (b->total_weight > 0)
 		build_alias(b);
 	return b;
@@ -244,6 +318,7 @@
 		path_unref(b->members[i].path);
 	g_free(b->members);
 	g_free(b->locals);
+	g_free(b->order);
 	g_free(b);
 }
 
@@ -305,7 +380,50 @@
 	return (own + others) / (slots * weight) + m->penalty;
 }
 
-static struct member *draw_member(struct bb_balance *b)
+/* Sets the subset anew from time to time, so that as many of its members as it
+ * should have can be chosen. */
+static void adapt_window(struct bb_balance *b, int64_t now_us)
+{
+	size_t usable = 0, local = 0, i;
+
+	if (b->subset >= b->members_nr) {
+		ck_pr_store_32(&b->window, (uint32_t)b->members_nr);
+		ck_pr_store_32(&b->local_window, (uint32_t)b->locals_nr);
+		return;
+	}
+	if (ck_pr_load_32(&b->window) &&
+	    now_us - (int64_t)ck_pr_load_64(&b->window_us) < SUBSET_INTERVAL_US)
+		return;
+	for (i = 0; i < b->members_nr && usable < b->subset; i++) {
+		const struct member *m = &b->members[b->order[i]];
+
+		usable += is_eligible(m, NULL, 0, false, now_us);
+		local += m->local;
+	}
+	ck_pr_store_32(&b->window, (uint32_t)i);
+	ck_pr_store_32(&b->local_window, (uint32_t)local);
+	ck_pr_store_64(&b->window_us, (uint64_t)now_us);
+}
+
+size_t bb_balance_subset(struct bb_balance *b, int64_t now_us)
+{
+	adapt_window(b, now_us);
+	return ck_pr_load_32(&b->window);
+}
+
+/* Draws a member of the subset by weight; NULL if the draw is to be repeated. */
+static struct member *draw_from_window(struct bb_balance *b, uint32_t window)
+{
+	uint64_t r = next_random(b);
+	uint32_t i = (uint32_t)(((r >> 32) * window) >> 32);
+	struct member *m = &b->members[b->order[i]];
+
+	return (double)(uint32_t)r < m->weight / b->max_weight * 4294967296.0 ?
+		       m :
+		       NULL;
+}
+
+static struct member *draw_from_all(struct bb_balance *b)
 {
 	uint64_t r = next_random(b);
 	uint32_t i = (uint32_t)(((r >> 32) * b->members_nr) >> 32);
@@ -316,6 +434,15 @@
 	return &b->members[m->alias];
 }
 
+static struct member *draw_member(struct bb_balance *b)
+{
+	uint32_t window = ck_pr_load_32(&b->window);
+
+	if (window < b->members_nr)
+		return draw_from_window(b, window);
+	return draw_from_all(b);
+}
+
 static struct member *less_loaded(const struct bb_balance *b, struct member *x,
 				  struct member *y, int64_t now_us)
 {
@@ -325,18 +452,18 @@
 									     x;
 }
 
-/* Finds the eligible member with the lowest load of all. Starts at a random
- * member, so that members of equal load share the requests. */
-static struct member *scan_least_loaded(struct bb_balance *b,
-					const uint32_t *excluded,
-					size_t excluded_nr, bool last_resort,
-					int64_t now_us)
+/* Finds the eligible member with the lowest load among the first @nr of the
+ * order. Starts at a random member, so that members of equal load share the
+ * requests. */
+static struct member *scan_first(struct bb_balance *b, size_t nr,
+				 const uint32_t *excluded, size_t excluded_nr,
+				 bool last_resort, int64_t now_us)
 {
 	struct member *best = NULL;
-	size_t start = next_random(b) % b->members_nr;
+	size_t start = next_random(b) % nr;
 
-	for (size_t i = 0; i < b->members_nr; i++) {
-		struct member *m = &b->members[(start + i) % b->members_nr];
+	for (size_t i = 0; i < nr; i++) {
+		struct member *m = &b->members[b->order[(start + i) % nr]];
 
 		if (is_eligible(m, excluded, excluded_nr, last_resort, now_us))
 			best = less_loaded(b, best, m, now_us);
@@ -344,6 +471,22 @@
 	return best;
 }
 
+/* The same in the subset or, if it has none, in the whole pool. */
+static struct member *scan_least_loaded(struct bb_balance *b,
+					const uint32_t *excluded,
+					size_t excluded_nr, bool last_resort,
+					int64_t now_us)
+{
+	uint32_t window = ck_pr_load_32(&b->window);
+	struct member *best = scan_first(b, window, excluded, excluded_nr,
+					 last_resort, now_us);
+
+	if (best || window == b->members_nr)
+		return best;
+	return scan_first(b, b->members_nr, excluded, excluded_nr, last_resort,
+			  now_us);
+}
+
 static struct bb_choice count_request(struct member *m)
 {
 	ck_pr_inc_32(&m->path->refs);
@@ -357,10 +500,11 @@
 				   const uint32_t *excluded, size_t excluded_nr,
 				   int64_t now_us)
 {
+	uint32_t window = ck_pr_load_32(&b->local_window);
 	struct member *best = NULL;
 
-	for (int i = 0; i < 2 && b->locals_nr; i++) {
-		uint32_t at = b->locals[next_random(b) % b->locals_nr];
+	for (int i = 0; i < 2 && window; i++) {
+		uint32_t at = b->locals[next_random(b) % window];
 		struct member *m = &b->members[at];
 
 		if (is_eligible(m, excluded, excluded_nr, false, now_us))
@@ -381,6 +525,7 @@
 
 	if (!(b->total_weight > 0))
 		return none;
+	adapt_window(b, now_us);
 	if (b->local_max_load > 0 && !excluded_nr)
 		first = choose_local(b, excluded, excluded_nr, now_us);
 	if (first)
@@ -388,7 +533,7 @@
 	for (int i = 0; i < DRAWS_MAX && !second; i++) {
 		struct member *m = draw_member(b);
 
-		if (m == first ||
+		if (!m || m == first ||
 		    !is_eligible(m, excluded, excluded_nr, false, now_us))
 			continue;
 		if (!first)
@@ -416,6 +561,7 @@
 
 	if (!b->members_nr)
 		return none;
+	adapt_window(b, now_us);
 	best = scan_least_loaded(b, excluded, excluded_nr, false, now_us);
 	if (!best)
 		best = scan_least_loaded(b, excluded, excluded_nr, true,
--- a/src/test_lib/test_balance.cc
+++ b/src/test_lib/test_balance.cc
@@ -315,3 +315,193 @@
 		EXPECT_EQ(0u, bb_path_in_flight(bb_balance_path(b, i)));
 	bb_balance_delete(b);
 }
+
+namespace
+{
+// A pool of n backend servers, each on a host of its own in one of three zones,
+// and the balance of the entry node on one of these hosts.
+struct SubsetPool : pool {
+	std::vector<std::string> host_names;
+
+	explicit SubsetPool(size_t n) : pool(n)
+	{
+		host_names.resize(n);
+		for (size_t i = 0; i < n; i++) {
+			host_names[i] = "host-" + std::to_string(i);
+			hosts[i].name = host_names[i].data();
+		}
+	}
+	struct bb_balance *balance_of(size_t self, uint32_t subset,
+				      struct bb_balance *previous = nullptr,
+				      double local_max_load = 0)
+	{
+		struct bb_balance_options o = {};
+
+		o.config = &config;
+		o.zone_id = (uint32_t)self % 3;
+		o.subset = subset;
+		o.self = host_names[self].c_str();
+		o.seed = self;
+		o.previous = previous;
+		o.local_max_load = local_max_load;
+		return bb_balance_new(&o);
+	}
+	// Backend servers that a balance chooses while it has no request in
+	// progress.
+	static std::map<uint32_t, int> chosen(struct bb_balance *b, int times,
+					      int64_t now = 1)
+	{
+		std::map<uint32_t, int> m;
+
+		for (int i = 0; i < times; i++)
+			m[choose(b, now)]++;
+		return m;
+	}
+};
+} // namespace
+
+// Guards against nodes that open connections to the whole of a large pool, and
+// against backend servers that are in few subsets or in too many.
+TEST(BalanceSubset, BackendServersAreInAboutAsManySubsets)
+{
+	for (size_t n : { 101, 353, 580 }) {
+		SubsetPool p(n);
+		std::vector<int> users(n);
+		size_t all = 0;
+
+		for (size_t i = 0; i < n; i++) {
+			struct bb_balance *b = p.balance_of(i, 24);
+
+			EXPECT_EQ(std::max<size_t>(24, n / 8),
+				  bb_balance_subset(b, 1));
+			for (auto &c : p.chosen(b, 2000)) {
+				users[c.first]++;
+				all++;
+			}
+			bb_balance_delete(b);
+		}
+		for (size_t i = 0; i < n; i++) {
+			EXPECT_GE(users[i] * n * 2.5, all) << n;
+			EXPECT_LE(users[i] * n, all * 2.5) << n;
+		}
+	}
+}
+
+// Guards against a subset that is not used in small pools, where it would only
+// make the choice smaller.
+TEST(BalanceSubset, SmallPoolsAreUsedWhole)
+{
+	SubsetPool p(24);
+	struct bb_balance *b = p.balance_of(3, 24);
+
+	EXPECT_EQ(24u, p.chosen(b, 2000).size());
+	bb_balance_delete(b);
+}
+
+// Guards against a subset without enough of the own availability zone, or with
+// nothing else: its load or its loss must leave a choice.
+TEST(BalanceSubset, HalfIsOfTheOwnZone)
+{
+	SubsetPool p(353);
+
+	for (size_t self : { 0, 1, 200 }) {
+		struct bb_balance *b = p.balance_of(self, 24);
+		int local = 0;
+		auto m = p.chosen(b, 4000);
+
+		for (auto &c : m)
+			local += c.first % 3 == self % 3;
+		EXPECT_EQ(44u, m.size());
+		EXPECT_EQ(22, local);
+		EXPECT_EQ(1u, m.count((uint32_t)self));
+		bb_balance_delete(b);
+	}
+}
+
+// Guards against a node whose whole subset fails, is ejected or leaves and that
+// then refuses requests or overloads the rest of it.
+TEST(BalanceSubset, IsWidenedByMembersThatCannotBeChosen)
+{
+	SubsetPool p(353);
+	struct bb_balance *b = p.balance_of(7, 24);
+	struct bb_load refusing = { 0, 0, 4, 5000000 };
+	auto first = p.chosen(b, 4000);
+	int64_t now = 1000000;
+
+	for (auto &c : first)
+		bb_balance_report(b, bb_balance_path(b, c.first), &refusing,
+				  now);
+	// The interval at which the subset is adapted.
+	now += 100000;
+	auto second = p.chosen(b, 4000, now);
+	EXPECT_EQ(44u, second.size());
+	EXPECT_EQ(88u, bb_balance_subset(b, now));
+	for (auto &c : second)
+		EXPECT_EQ(0u, first.count(c.first));
+	// Back to the first ones when they accept requests again.
+	now += 6000000;
+	EXPECT_EQ(first.size(), p.chosen(b, 4000, now).size());
+	bb_balance_delete(b);
+}
+
+// Guards against a request that is refused because all of the subset was tried,
+// although others are left.
+TEST(BalanceSubset, WholePoolIsTheLastResort)
+{
+	SubsetPool p(200);
+	struct bb_balance *b = p.balance_of(7, 24);
+	std::vector<uint32_t> tried;
+
+	for (int i = 0; i < 200; i++) {
+		uint32_t c = choose(b, 1, tried);
+
+		ASSERT_NE(BB_NO_ROW, c);
+		tried.push_back(c);
+	}
+	EXPECT_EQ(BB_NO_ROW, choose(b, 1, tried));
+	bb_balance_delete(b);
+}
+
+// Guards against connections that change all over the fleet when one backend
+// server leaves or joins, and against one that joins and gets no requests.
+TEST(BalanceSubset, ChangesAsLittleAsThePool)
+{
+	SubsetPool p(200);
+	int users = 0;
+
+	for (size_t self = 0; self < 50; self++) {
+		p.service.backends_nr = 200;
+		struct bb_balance *all = p.balance_of(self, 24);
+		auto before = p.chosen(all, 3000);
+		p.service.backends_nr = 199;
+		struct bb_balance *less = p.balance_of(self, 24, all);
+		auto after = p.chosen(less, 3000);
+		int gone = 0;
+
+		users += before.count(199) > 0;
+		for (auto &c : before)
+			gone += !after.count(c.first);
+		EXPECT_LE(gone, 2) << self;
+		bb_balance_delete(less);
+		bb_balance_delete(all);
+	}
+	EXPECT_GE(users, 1);
+}
+
+// Guards against weights that are not followed within a subset.
+TEST(BalanceSubset, FollowsWeights)
+{
+	SubsetPool p(200);
+
+	for (size_t i = 0; i < 200; i++)
+		p.backends[i].weight = i % 2 ? 1 : 0.25;
+	struct bb_balance *b = p.balance_of(7, 24);
+	double low = 0, high = 0, low_nr = 0, high_nr = 0;
+
+	for (auto &c : p.chosen(b, 20000)) {
+		(c.first % 2 ? high : low) += c.second;
+		(c.first % 2 ? high_nr : low_nr) += 1;
+	}
+	EXPECT_NEAR(4, high / high_nr / (low / low_nr), 0.8);
+	bb_balance_delete(b);
+}
