Bound the holders of rates in large fleets and keep an unchanged map

The map of 512 groups was computed anew for every change of a backend server. Idle control connections stayed for 120 s, among them those to the neighbours of every host list of the start. Change: with a feed, committees come from a quarter of the hosts, 32 at least; a map is kept while the hosts are the same; idle control connections are closed after 15 s.

--- a/include/baobabward/lease.h
+++ b/include/baobabward/lease.h
@@ -59,10 +59,19 @@
 /**
  * bb_lease_map_new() - choose the committee of every group.
  * @c: configuration with the hosts; not kept
+ * @whole: all hosts are in committees; otherwise a quarter of them, and at least
+ *         32, so that a node that uses many groups talks to few holders. Must be
+ *         equal on all nodes.
  *
  * Return: map with one reference.
  */
-struct bb_lease_map *bb_lease_map_new(const struct bb_config *c);
+struct bb_lease_map *bb_lease_map_new(const struct bb_config *c, bool whole);
+
+/**
+ * bb_lease_map_fits() - whether a map has the hosts of a configuration, with the
+ * same indexes, so that a new one would be the same.
+ */
+bool bb_lease_map_fits(const struct bb_lease_map *m, const struct bb_config *c);
 
 /**
  * bb_lease_map_set_holders() - set how many hosts share a group's seats.
--- a/src/bench/bench_limit.c
+++ b/src/bench/bench_limit.c
@@ -152,7 +152,7 @@
 		config.accounts[i].rate_per_s = RATE_PER_S;
 		config.accounts[i].burst = BURST;
 	}
-	map = bb_lease_map_new(&config);
+	map = bb_lease_map_new(&config, true);
 }
 
 static void tear_down(void)
--- a/src/liblimit/lease_map.c
+++ b/src/liblimit/lease_map.c
@@ -2,6 +2,10 @@
  * Committees of the groups by rendezvous hashing: for each group, every host
  * gets a score from its name and the group, and those with the highest scores
  * are the committee. Nodes with the same host list have the same committees.
+ *
+ * In a large fleet only a part of the hosts, those with the highest scores for
+ * no group, are in committees. Each node talks to the holders of all groups that
+ * it uses, so that this bounds its connections.
  */
 #include <glib.h>
 #include <string.h>
@@ -9,10 +13,15 @@
 
 #include "baobabward/lease.h"
 
+/* Part of the hosts that are in committees, and the least number of them. */
+#define POOL_DIVISOR 4
+#define POOL_MIN 32
+
 /*
  * Committees of one host list.
  * @ids: identifier of each host
  * @host_index: index of each host, by identifier
+ * @pool: hosts that are in committees
  * @committees: hosts of each group's committee, by rank
  */
 struct bb_lease_map {
@@ -22,9 +31,18 @@
 	size_t hosts_nr;
 	uint64_t *ids;
 	GHashTable *host_index;
+	uint32_t *pool;
+	size_t pool_nr;
 	uint32_t (*committees)[BB_LEASE_COMMITTEE_MAX];
 };
 
+static uint64_t host_id(const struct bb_config *c, size_t host)
+{
+	const char *name = c->hosts[host].name;
+
+	return XXH3_64bits(name, strlen(name));
+}
+
 uint32_t bb_lease_group(const char *name, size_t size)
 {
 	return XXH3_64bits(name, size) % BB_LEASE_GROUPS;
@@ -52,13 +70,49 @@
 	uint64_t scores[BB_LEASE_COMMITTEE_MAX];
 	uint32_t nr = 0;
 
+	for (size_t i = 0; i < m->pool_nr; i++) {
+		const uint64_t *id = &m->ids[m->pool[i]];
+
+		insert_host(m->committees[group], scores, &nr, m->seats,
+			    m->pool[i],
+			    XXH3_64bits_withSeed(id, sizeof(*id), group));
+	}
+}
+
+static gint compare_scores(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct bb_lease_map *m = data;
+	uint64_t x = m->ids[*(const uint32_t *)a];
+	uint64_t y = m->ids[*(const uint32_t *)b];
+
+	return (x < y) - (x > y);
+}
+
+/* The hosts with the highest identifiers, which are hashes of their names. */
+static void choose_pool(struct bb_lease_map *m, bool whole)
+{
+	m->pool = g_new(uint32_t, m->hosts_nr);
+	m->pool_nr = m->hosts_nr;
 	for (size_t i = 0; i < m->hosts_nr; i++)
-		insert_host(m->committees[group], scores, &nr, m->seats, i,
-			    XXH3_64bits_withSeed(&m->ids[i], sizeof(m->ids[i]),
-						 group));
+		m->pool[i] = (uint32_t)i;
+	if (whole || m->hosts_nr <= POOL_MIN)
+		return;
+	g_qsort_with_data(m->pool, (gint)m->hosts_nr, sizeof(*m->pool),
+			  compare_scores, m);
+	m->pool_nr = MAX(POOL_MIN, m->hosts_nr / POOL_DIVISOR);
 }
 
-struct bb_lease_map *bb_lease_map_new(const struct bb_config *c)
+bool bb_lease_map_fits(const struct bb_lease_map *m, const struct bb_config *c)
+{
+	if (m->hosts_nr != c->hosts_nr)
+		return false;
+	for (size_t i = 0; i < c->hosts_nr; i++)
+		if (m->ids[i] != host_id(c, i))
+			return false;
+	return true;
+}
+
+struct bb_lease_map *bb_lease_map_new(const struct bb_config *c, bool whole)
 {
 	struct bb_lease_map *m = g_new0(struct bb_lease_map, 1);
 
@@ -73,12 +127,11 @@
 	m->host_index = g_hash_table_new(g_int64_hash, g_int64_equal);
 	m->committees = g_malloc0_n(BB_LEASE_GROUPS, sizeof(*m->committees));
 	for (size_t i = 0; i < c->hosts_nr; i++) {
-		const char *name = c->hosts[i].name;
-
-		m->ids[i] = XXH3_64bits(name, strlen(name));
+		m->ids[i] = host_id(c, i);
 		g_hash_table_insert(m->host_index, &m->ids[i],
 				    GSIZE_TO_POINTER(i));
 	}
+	choose_pool(m, whole);
 	for (uint32_t group = 0; group < BB_LEASE_GROUPS; group++)
 		choose_committee(m, group);
 	return m;
@@ -106,6 +159,7 @@
 		return;
 	g_hash_table_destroy(m->host_index);
 	g_free(m->ids);
+	g_free(m->pool);
 	g_free(m->committees);
 	g_free(m);
 }
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -44,7 +44,8 @@
  * linearizable, so the switch counts as agreed on for a long time.
  */
 #define FEED_AGREED_US (3600 * BB_US_PER_S)
-#define IDLE_CONNECTION_US (120 * BB_US_PER_S)
+/* Longer than the time between two requests for a digest to one neighbour. */
+#define IDLE_CONNECTION_US (15 * BB_US_PER_S)
 
 /* Callbacks of the decision modules. */
 
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -153,7 +153,9 @@
 
 	/* First, because the permits ask it which new hosts are leaving. */
 	bb_control_configure_host_list(c);
-	c->map = bb_lease_map_new(g);
+	c->map = old && bb_lease_map_fits(old, g) ?
+			 bb_lease_map_ref(old) :
+			 bb_lease_map_new(g, !c->o.feed);
 	bb_lender_set_config(c->lender, g, c->map, now_us);
 	bb_holder_set_config(c->holder, g, c->map, now_us);
 	bb_grantor_set_config(c->grantor, g, c->map, now_us);
--- a/src/test_lib/lease_fixture.h
+++ b/src/test_lib/lease_fixture.h
@@ -22,7 +22,7 @@
 		config.hosts = hosts;
 		config.hosts_nr = 3;
 		config.automation = true;
-		map = bb_lease_map_new(&config);
+		map = bb_lease_map_new(&config, true);
 	}
 
 	~ThreeHosts()
--- a/src/test_lib/limit_driver.h
+++ b/src/test_lib/limit_driver.h
@@ -446,7 +446,7 @@
 
 inline void Fleet::apply(Node *n, const std::shared_ptr<Document> &doc)
 {
-	bb_lease_map *m = bb_lease_map_new(&doc->c);
+	bb_lease_map *m = bb_lease_map_new(&doc->c, true);
 
 	bb_lease_map_set_holders(m, o.holders);
 	n->old_docs.push_back(doc);
--- a/src/test_lib/test_lender.cc
+++ b/src/test_lib/test_lender.cc
@@ -255,7 +255,7 @@
 		f.config.hosts_version_before = c.before;
 		if (c.other_hosts)
 			f.hosts[2].name[4] = '9';
-		other = bb_lease_map_new(&f.config);
+		other = bb_lease_map_new(&f.config, true);
 		bb_lender_set_config(f.l, &f.config, other, f.now);
 		bb_lease_map_unref(other);
 		f.ask(1, 2, { a });
