Relay: a watch that hears nothing is replaced before peers notice

Change: a relayed watch times out 300 ms after its wait, and peers are only told to read by themselves on the second failure in a row; their bound on the age of evidence holds anyway. Watches gather for 0.4 of the time within which a change must be in force. Measured: test_relay, with a new case that fails without the change.

--- a/include/baobabward/relay.h
+++ b/include/baobabward/relay.h
@@ -133,7 +133,7 @@
 		      int64_t now_us);
 
 /**
- * bb_relay_lose() - the registry does not answer, or was restored from a copy.
+ * bb_relay_lose() - the registry is out of reach, or was restored from a copy.
  * @r: relay
  * @forget: nothing that was read of it holds
  * @now_us: current time
@@ -169,6 +169,12 @@
  */
 int64_t bb_relay_watch_us(const struct bb_relay *r, int64_t now_us);
 
+/**
+ * bb_relay_interval_us() - shortest time between the starts of two watches, so
+ * that one answer carries several changes.
+ */
+int64_t bb_relay_interval_us(const struct bb_relay *r, int64_t now_us);
+
 /**
  * bb_relay_receive() - process a message of a peer.
  * @r: relay
--- a/src/libmember/relay.c
+++ b/src/libmember/relay.c
@@ -15,6 +15,9 @@
 #define WAIT_PERCENT 25
 #define ANSWER_SLACK_PERCENT 15
 #define EVIDENCE_PERCENT 60
+#define INTERVAL_PERCENT 40
+/* The same while peers depend on this node. */
+#define INTERVAL_ASKED_PERCENT 20
 /* Time for which a node that was asked by a peer keeps its evidence recent. */
 #define ASKED_US (10 * BB_US_PER_S)
 /* Shortest and longest time for which a peer that did not answer as it should
@@ -455,6 +458,13 @@
 		       0;
 }
 
+int64_t bb_relay_interval_us(const struct bb_relay *r, int64_t now_us)
+{
+	return part_us(r, bb_relay_watch_us(r, now_us) ?
+				  INTERVAL_ASKED_PERCENT :
+				  INTERVAL_PERCENT);
+}
+
 static void end_read(struct bb_relay *r,
 		     const struct bb_message_registry_changes *m)
 {
--- a/src/test_lib/relay_fleet.h
+++ b/src/test_lib/relay_fleet.h
@@ -20,9 +20,8 @@
 	// Time of a message between two hosts, and of an answer of the registry.
 	static constexpr int64_t delay_us = 2 * BB_US_PER_MS;
 	static constexpr int64_t registry_us = 8 * BB_US_PER_MS;
-	// Watch of a node that no peer depends on, and its interval.
+	// Watch of a node that no peer depends on.
 	static constexpr int64_t long_watch_us = 2500 * BB_US_PER_MS;
-	static constexpr int64_t interval_us = 800 * BB_US_PER_MS;
 	static constexpr int64_t step_us = 5 * BB_US_PER_MS;
 	static constexpr int64_t apply_us = 2 * BB_US_PER_S;
 
@@ -60,6 +59,8 @@
 		std::map<std::string, std::string> items;
 		bool frozen = false;
 		bool no_registry = false;
+		// The watch in progress hears nothing, as after a compaction.
+		bool deaf = false;
 		uint64_t calls = 0;
 	};
 	struct Message {
@@ -79,7 +80,7 @@
 	std::mt19937 random{ 1 };
 	double loss = 0;
 	// Time after which a read of the registry times out, beyond its wait.
-	int64_t slack_us = 700 * BB_US_PER_MS;
+	int64_t slack_us = 300 * BB_US_PER_MS;
 	uint64_t bytes = 0;
 	// Zones whose messages to and from other zones are lost.
 	std::set<uint32_t> cut_zones;
@@ -281,12 +282,14 @@
 		}
 		if (n.reading == PEER)
 			return;
-		if (n.no_registry) {
+		if (n.no_registry || n.deaf) {
 			// Silence, until the request times out.
 			if (now < n.until_us + slack_us)
 				return;
+			if (n.unavailable)
+				bb_relay_lose(n.relay, false, now);
 			n.unavailable = true;
-			bb_relay_lose(n.relay, false, now);
+			n.deaf = false;
 			n.reading = NOTHING;
 			n.next_us = now + 400 * BB_US_PER_MS;
 			return;
@@ -327,14 +330,12 @@
 		} else if (n.reading == WATCH &&
 			   (due || (registry.revision > n.revision &&
 				    now - n.started_us >= registry_us))) {
-			int64_t watch_us = bb_relay_watch_us(n.relay, now);
-
 			read(n, n.revision);
 			n.reading = NOTHING;
-			n.next_us = std::max(
-				n.started_us + (watch_us ? watch_us * 66 / 100 :
-							   interval_us),
-				now + 100 * BB_US_PER_MS);
+			n.next_us =
+				std::max(n.started_us + bb_relay_interval_us(
+								n.relay, now),
+					 now + 100 * BB_US_PER_MS);
 		}
 	}
 	void run(int64_t us)
--- a/src/test_lib/test_relay.cc
+++ b/src/test_lib/test_relay.cc
@@ -61,7 +61,7 @@
 	for (int phase = 0; phase < 20; phase++) {
 		RelayFleet f(101, 4);
 
-		f.slack_us = phase < 10 ? 700 * BB_US_PER_MS : 9 * BB_US_PER_S;
+		f.slack_us = phase < 10 ? 300 * BB_US_PER_MS : 9 * BB_US_PER_S;
 		f.run(5 * BB_US_PER_S + phase * 70 * BB_US_PER_MS);
 		auto readers = f.readers();
 		for (uint32_t r : readers)
@@ -114,6 +114,22 @@
 	}
 }
 
+// Guards against a whole fleet that reads the registry because it compacted its
+// history, so that the watches of the readers hear nothing more.
+TEST(Relay, ReaderThatHearsNothingReadsAgainInTime)
+{
+	RelayFleet f(353, 6);
+
+	f.run(6 * BB_US_PER_S);
+	uint64_t before = f.registry.calls;
+	auto readers = f.readers();
+	for (uint32_t r : readers)
+		f.nodes[r]->deaf = true;
+	EXPECT_GE(f.spread("op/config", "new", bound_us), 0);
+	f.run(BB_US_PER_S);
+	EXPECT_LE(f.registry.calls - before, 8 * readers.size());
+}
+
 // Guards against lost messages between nodes that keep changes back.
 TEST(Relay, LossIsBridgedByOwnReads)
 {
