Grant the retry slack of the fleet anew over each window

Cause: a node got its part of the slack only by saving up its share of first attempts. Measured: test_retry bounds every window; the new pattern shedding-small has fewer refusals and more answers in target than without the window (test_load).

--- a/include/baobabward/retry.h
+++ b/include/baobabward/retry.h
@@ -81,18 +81,35 @@
  */
 struct bb_retry_limits bb_retry_limits_default(void);
 
+/**
+ * struct bb_retry_fleet_limits - limits on the retries of a whole fleet.
+ * @percent: share of the first attempts that may be retried
+ * @slack: retries beyond that share, in any time of @window_us
+ * @window_us: see @slack; 0 if @slack may be used only once, by the requests
+ *             that follow
+ * @hosts: number of nodes that share @slack, at least 1
+ */
+struct bb_retry_fleet_limits {
+	uint32_t percent;
+	uint32_t slack;
+	int64_t window_us;
+	size_t hosts;
+};
+
 /**
  * bb_retry_limits_of_fleet() - a node's part of limits on the whole fleet.
- * @percent: retries allowed, in percent of the first attempts
- * @slack: retries beyond that share that the fleet may make at once
- * @hosts: number of nodes, at least 1
+ * @f: limits of the fleet
+ *
+ * A node may save up its part of the slack. With a window, it saves up half of a
+ * part of more than a few retries and is granted the other half evenly over each
+ * window, so that both together are within it. In fleets with more hosts than
+ * slack, each node may still retry once.
  *
- * The slack is divided among the nodes as their max_tokens, with at least one
- * retry for each. They start with no tokens, so that a restart of all nodes
- * does not add retries.
+ * Return: limits without initial tokens, since a node that restarts often would
+ * get them each time.
  */
-struct bb_retry_limits bb_retry_limits_of_fleet(uint32_t percent,
-						uint32_t slack, size_t hosts);
+struct bb_retry_limits
+bb_retry_limits_of_fleet(const struct bb_retry_fleet_limits *f);
 
 /**
  * struct bb_retry_budget - token bucket for the retries of a node; shared by
--- a/include/baobabward/settings.h
+++ b/include/baobabward/settings.h
@@ -44,6 +44,7 @@
  * @retry_percent: retries allowed, as a percentage of first attempts
  * @retry_slack: retries beyond that share which the whole fleet may accumulate,
  *               0 to bound each node alone
+ * @retry_window_ms: time over which @retry_slack is granted anew, 0 for only once
  * @attempt_percent: percentage of the remaining time that an attempt of an
  *                   idempotent request may use while another may follow
  * @breaker: redirect requests at once from backend servers that fail
@@ -98,6 +99,7 @@
 	uint32_t serve_stale;
 	uint32_t retry_percent;
 	uint32_t retry_slack;
+	uint32_t retry_window_ms;
 	uint32_t attempt_percent;
 	uint32_t breaker;
 	uint32_t ejections;
--- a/src/bench/load_replay.h
+++ b/src/bench/load_replay.h
@@ -93,6 +93,7 @@
  * @same_zone_delay_us: one-way network delay within an availability zone
  * @cross_zone_delay_us: one-way network delay between availability zones
  * @duration_us: time during which requests arrive
+ * @retry_window_us: time over which @retry_slack is granted anew, 0 for never
  * @spell_share: share of the time in which a backend server is in a failing
  *		 spell
  * @spell_us: mean length of a failing spell
@@ -107,6 +108,7 @@
 	int64_t duration_us;
 	uint32_t retry_percent;
 	uint32_t retry_slack;
+	int64_t retry_window_us;
 	double spell_share;
 	int64_t spell_us;
 	double spell_failure_ratio;
@@ -292,6 +294,7 @@
 		(uint32_t)load_read_number(f, "fleet", "retry_percent", 15);
 	p->retry_slack =
 		(uint32_t)load_read_number(f, "fleet", "retry_slack", 42);
+	p->retry_window_us = load_read_ms(f, "fleet", "retry_window_ms", 10000);
 	p->spell_share = load_read_number(f, "fleet", "spell_share", 0);
 	p->spell_us = load_read_ms(f, "fleet", "spell_ms", 2700);
 	p->spell_failure_ratio =
@@ -814,9 +817,11 @@
 	struct load_server *v = &s->servers[i];
 	struct bb_queue_options q;
 	struct bb_balance_options b;
-	struct bb_retry_limits limits = bb_retry_limits_of_fleet(
-		s->pattern.retry_percent, s->pattern.retry_slack,
-		s->pattern.servers);
+	struct bb_retry_fleet_limits fleet = { s->pattern.retry_percent,
+					       s->pattern.retry_slack,
+					       s->pattern.retry_window_us,
+					       s->pattern.servers };
+	struct bb_retry_limits limits = bb_retry_limits_of_fleet(&fleet);
 
 	memset(&q, 0, sizeof(q));
 	q.slots = s->pattern.slots;
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -38,6 +38,7 @@
  * @retry_percent: retries allowed as a percentage of first attempts
  * @retry_slack: retries beyond @retry_percent that the whole fleet may save up;
  *               0 to limit each node separately
+ * @retry_window_us: time over which @retry_slack is granted anew, 0 for only once
  * @subset: smallest number of backend servers of a service that are used, 0 for
  *	    all
  * @slot_searches: backend servers that a call asks for a free slot before it
@@ -70,6 +71,7 @@
 	bool (*is_connected)(void *data, uint32_t host);
 	uint32_t retry_percent;
 	uint32_t retry_slack;
+	int64_t retry_window_us;
 	uint32_t subset;
 	uint32_t slot_searches;
 	uint32_t local_percent;
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -66,11 +66,15 @@
 	struct bb_retry_budget *next =
 		g_new0(struct bb_retry_budget, c->services_nr);
 	struct bb_retry_limits limits = bb_retry_limits_default();
+	struct bb_retry_fleet_limits fleet = {
+		.percent = e->o.retry_percent,
+		.slack = e->o.retry_slack,
+		.window_us = e->o.retry_window_us,
+		.hosts = MAX(1, c->hosts_nr),
+	};
 
 	if (e->o.retry_slack)
-		limits = bb_retry_limits_of_fleet(e->o.retry_percent,
-						  e->o.retry_slack,
-						  MAX(1, c->hosts_nr));
+		limits = bb_retry_limits_of_fleet(&fleet);
 	for (size_t i = 0; i < c->services_nr; i++) {
 		const char *name = c->services[i].name;
 		uint32_t old_service = BB_NO_ROW;
--- a/src/libnode/settings.c
+++ b/src/libnode/settings.c
@@ -89,6 +89,9 @@
 	  "N",
 	  "retries beyond that share which the whole fleet may save up, 0 "
 	  "to bound each node alone" },
+	{ "retry-window-ms", SETTING_NUMBER, OFFSET(retry_window_ms), "0", 0,
+	  600000, "MS",
+	  "time over which the slack is granted anew, 0 for only once" },
 	{ "attempt-percent", SETTING_NUMBER, OFFSET(attempt_percent), "50", 1,
 	  100, "PERCENT",
 	  "share of the time left that an attempt of an idempotent request "
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -365,6 +365,7 @@
 		.is_connected = is_connected,
 		.retry_percent = s->retry_percent,
 		.retry_slack = s->retry_slack,
+		.retry_window_us = s->retry_window_ms * BB_US_PER_MS,
 		.subset = s->subset,
 		.slot_searches = s->slot_searches,
 		.local_percent = s->local_percent,
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -12,6 +12,9 @@
 #define DEFAULT_FIRST_ATTEMPT_TOKENS 100
 /* Limit on unused tokens, which keeps bursts of retries small. */
 #define DEFAULT_MAX_TOKENS (10 * RETRY_TOKENS)
+/* A node's part of a fleet's slack up to which all of it is saved up. First
+ * attempts fill so few tokens again soon, and failures come in bursts. */
+#define SAVED_MIN_TOKENS (4 * RETRY_TOKENS)
 /* A node gets one retry per second, also without requests. That is 0.6% of the
  * load for 580 nodes with 100,000 requests per second. */
 #define DEFAULT_RESERVE_INTERVAL_US BB_US_PER_S
@@ -26,16 +29,29 @@
 	};
 }
 
-struct bb_retry_limits bb_retry_limits_of_fleet(uint32_t percent,
-						uint32_t slack, size_t hosts)
+struct bb_retry_limits
+bb_retry_limits_of_fleet(const struct bb_retry_fleet_limits *f)
 {
-	int64_t share = (int64_t)slack * RETRY_TOKENS / (int64_t)hosts;
-
-	return (struct bb_retry_limits){
-		.first_attempt_tokens = (int64_t)percent * RETRY_TOKENS / 100,
-		.max_tokens = share > RETRY_TOKENS ? share : RETRY_TOKENS,
+	int64_t share = (int64_t)f->slack * RETRY_TOKENS / (int64_t)f->hosts;
+	int64_t saved = share;
+	struct bb_retry_limits l;
+	int64_t granted;
+
+	if (f->window_us && share > SAVED_MIN_TOKENS)
+		saved = share / 2 > SAVED_MIN_TOKENS ? share / 2 :
+						       SAVED_MIN_TOKENS;
+	l = (struct bb_retry_limits){
+		.first_attempt_tokens =
+			(int64_t)f->percent * RETRY_TOKENS / 100,
+		.max_tokens = saved > RETRY_TOKENS ? saved : RETRY_TOKENS,
 		.reserve_interval_us = INT64_MAX,
 	};
+	/* A window may begin just before a grant and end just after one. */
+	granted = share - l.max_tokens - RETRY_TOKENS;
+
+	if (f->window_us && granted > 0)
+		l.reserve_interval_us = f->window_us * RETRY_TOKENS / granted;
+	return l;
 }
 
 void bb_retry_budget_init(struct bb_retry_budget *b,
--- a/src/test_lib/test_load.cc
+++ b/src/test_lib/test_load.cc
@@ -24,7 +24,7 @@
 }
 
 const char *const kPatterns[] = { "burst", "failing-spells", "hanging",
-				  "shedding" };
+				  "shedding", "shedding-small" };
 enum { LOOKUP, BOOKING };
 
 } // namespace
@@ -78,6 +78,21 @@
 	}
 }
 
+// Guards against a slack of the fleet that is used up once and then lies idle
+// while a whole service sheds.
+TEST(Load, SlackIsGrantedWhileAServiceSheds)
+{
+	struct load_pattern p = read("shedding-small");
+	struct load_report now = load_replay(&p, LOAD_MODULES, 6);
+	p.retry_window_us = 0;
+	struct load_report before = load_replay(&p, LOAD_MODULES, 6);
+
+	EXPECT_LT(now.kinds[BOOKING].refused, before.kinds[BOOKING].refused);
+	EXPECT_LT(now.kinds[LOOKUP].refused, before.kinds[LOOKUP].refused);
+	EXPECT_GT(now.kinds[BOOKING].in_target,
+		  before.kinds[BOOKING].in_target);
+}
+
 // Guards against backend servers that attract requests while they fail, because
 // they answer at once and seem idle. The breaker must avoid most of the errors.
 TEST(Load, BreakerAvoidsFailingServers)
--- a/src/test_lib/test_retry.cc
+++ b/src/test_lib/test_retry.cc
@@ -128,7 +128,8 @@
 {
 	for (size_t hosts : { 1, 22, 29, 50 }) {
 		const uint32_t slack = 56;
-		auto limits = bb_retry_limits_of_fleet(10, slack, hosts);
+		struct bb_retry_fleet_limits fleet = { 10, slack, 0, hosts };
+		auto limits = bb_retry_limits_of_fleet(&fleet);
 		auto a = attempt(BB_REASON_BACKEND_CONNECT);
 		size_t retries = 0;
 
@@ -147,6 +148,51 @@
 	}
 }
 
+// Load pattern: backend servers fail for a minute, and the slack of the fleet is
+// used up in the first seconds of it. Guards against slack that is granted only
+// once, and against more than all of it in any window.
+TEST(Retry, SlackIsGrantedAgainInEachWindow)
+{
+	const int64_t window_us = 10 * 1000000, step_us = 10000;
+	const uint32_t slack = 472;
+
+	for (size_t hosts : { 1, 24, 101, 353, 472 }) {
+		struct bb_retry_fleet_limits fleet = { 0, slack, window_us,
+						       hosts };
+		auto limits = bb_retry_limits_of_fleet(&fleet);
+		auto a = attempt(BB_REASON_BACKEND_CONNECT);
+		std::vector<size_t> at(6 * window_us / step_us);
+		size_t all = 0, in_window = 0;
+
+		a.deadline_us = INT64_MAX;
+		for (size_t h = 0; h < hosts; h++) {
+			struct bb_retry_budget b;
+
+			// Nodes start at different times.
+			bb_retry_budget_init(&b, &limits, -(int64_t)h * 7919);
+			b.tokens = limits.max_tokens;
+			for (size_t i = 0; i < at.size(); i++)
+				while (bb_retry_decide(&b, &a,
+						       (int64_t)i * step_us) ==
+				       BB_RETRY_YES)
+					at[i]++;
+		}
+		for (size_t i = 0; i < at.size(); i++) {
+			const size_t steps = window_us / step_us;
+
+			all += at[i];
+			in_window += at[i];
+			if (i >= steps)
+				in_window -= at[i - steps];
+			EXPECT_LE(in_window, slack) << hosts;
+		}
+		// Half of the slack in each further window, where a node's part
+		// is more than the one retry that it may save up.
+		if (hosts <= 24)
+			EXPECT_GE(all, slack * 5 / 2) << hosts;
+	}
+}
+
 namespace
 {
 
@@ -157,8 +203,8 @@
  */
 struct Shedding {
 	static const size_t kHosts = 101;
-	struct bb_retry_limits limits =
-		bb_retry_limits_of_fleet(15, 156, kHosts);
+	struct bb_retry_fleet_limits fleet = { 15, 156, 0, kHosts };
+	struct bb_retry_limits limits = bb_retry_limits_of_fleet(&fleet);
 	std::vector<struct bb_retry_budget> budgets{ kHosts };
 	GRand *random = g_rand_new_with_seed(3);
 	int requests = 0, wanted = 0, retries = 0;
