Transport: heartbeats of our own instead of those of ZMTP

Change: a heartbeat is an empty message that the peer returns; a connection that does not return it is replaced, but not after a pause of this node's own thread. At the receiving side TCP keepalive closes dead connections after 60 s.

--- a/include/baobabward/transport.h
+++ b/include/baobabward/transport.h
@@ -25,12 +25,11 @@
  * sleep on it, call bb_transport_receive() until it returns NULL. This also
  * answers the handshakes of connecting nodes, which wait for this thread.
  *
- * Cost of an idle connection: one heartbeat per @heartbeat_interval_ms from the
- * connecting side, 239 bytes at each end (bench_member), and the queues of two
- * sockets. With 24 control connections a heartbeat every 10 s takes 574 B/s, so
- * the control port should use 60 s and call bb_transport_disconnect() for a
- * silent peer. Connections without traffic are closed by
- * bb_transport_close_idle().
+ * Cost of an idle connection: one heartbeat, an empty message that is returned,
+ * per @heartbeat_interval_ms from the connecting side, and the queues of two
+ * sockets. bb_transport_receive() sends heartbeats and replaces connections that
+ * do not return them when no message is left; call it at shorter intervals than
+ * theirs. Connections without traffic are closed by bb_transport_close_idle().
  */
 #ifndef BAOBABWARD_TRANSPORT_H
 #define BAOBABWARD_TRANSPORT_H
--- a/src/libwire/transport.c
+++ b/src/libwire/transport.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 #include <zmq.h>
 
+#include "baobabward/clock.h"
 #include "baobabward/config.h"
 #include "libwire/transport_private.h"
 #include "libwire/transport_tsan.h"
@@ -16,6 +17,11 @@
  * some for other purposes.
  */
 #define SOCKETS_MAX (BB_LIST_MAX + 16)
+/* Interval at which connections are looked at for heartbeats. */
+#define HEARTBEAT_CHECK_US (20 * BB_US_PER_MS)
+/* After a longer pause of this thread, heartbeats may have been returned and not
+ * read yet. */
+#define HEARTBEAT_PAUSE_US (1 * BB_US_PER_S)
 /* Largest number of events read from the epoll set at once. */
 #define EVENTS_MAX 64
 
@@ -412,6 +418,64 @@
 	t->peers[host].link = NULL;
 }
 
+/*
+ * A heartbeat is a message with an empty payload, which the peer returns. ZMTP
+ * has heartbeats of its own, but libzmq 4.3.4 aborts the process if it has one
+ * to answer on a connection that has failed, as after a pause of the process.
+ */
+static int send_heartbeat(struct bb_transport *t, struct bb_link *l,
+			  const struct bb_sender *to)
+{
+	bb_link_mark_ready(t, l);
+	if (send_envelope(t, l, to) >= 0 &&
+	    zmq_send(l->socket, "", 0, ZMQ_DONTWAIT) >= 0)
+		return 0;
+	t->stats.send_failures++;
+	return -1;
+}
+
+/* Replaces the connection to a peer that has not returned a heartbeat, and sends
+ * one if nothing was received for a while. */
+static void check_heartbeat(struct bb_transport *t, uint32_t host,
+			    int64_t now_us)
+{
+	struct bb_link *l = t->peers[host].link;
+
+	if (l->heartbeat_us > l->heard_us) {
+		if (now_us - l->heartbeat_us >
+		    t->o.heartbeat_timeout_ms * BB_US_PER_MS)
+			bb_transport_disconnect(t, host);
+		return;
+	}
+	if (now_us - l->heard_us < t->o.heartbeat_interval_ms * BB_US_PER_MS)
+		return;
+	/* Without a connection, libzmq is connecting already. */
+	if (!send_heartbeat(t, l, NULL))
+		l->heartbeat_us = now_us;
+	else
+		l->heard_us = now_us;
+}
+
+static void check_heartbeats(struct bb_transport *t)
+{
+	int64_t now_us = bb_clock_now_us();
+	int64_t since_us = now_us - t->heartbeats_us;
+
+	if (t->o.heartbeat_interval_ms < 0 || since_us < HEARTBEAT_CHECK_US)
+		return;
+	t->heartbeats_us = now_us;
+	for (size_t i = 0; i < t->peers_nr; i++) {
+		struct bb_link *l = t->peers[i].link;
+
+		if (!l)
+			continue;
+		if (since_us >= HEARTBEAT_PAUSE_US &&
+		    l->heartbeat_us > l->heard_us)
+			l->heartbeat_us = now_us;
+		check_heartbeat(t, (uint32_t)i, now_us);
+	}
+}
+
 void bb_transport_close_idle(struct bb_transport *t, int64_t now_us,
 			     int64_t idle_us)
 {
@@ -517,8 +581,14 @@
 			goto bad;
 		goto none;
 	}
-	l->last_traffic_us = t->now_us;
+	l->heard_us = bb_clock_now_us();
 	size = zmq_msg_size(&r->payload);
+	if (!size) {
+		if (l->kind == BB_LINK_ROUTER)
+			send_heartbeat(t, l, &r->sender);
+		goto none;
+	}
+	l->last_traffic_us = t->now_us;
 	bb_metrics_add(t->o.bytes_in_metric, size);
 	r->decoded = bb_wire_decode(zmq_msg_data(&r->payload), size, NULL);
 	if (r->decoded)
@@ -561,6 +631,8 @@
 		if (!r && g_queue_is_empty(&t->ready))
 			collect_ready_links(t);
 	}
+	if (!r)
+		check_heartbeats(t);
 	return r;
 }
 
--- a/src/libwire/transport_link.c
+++ b/src/libwire/transport_link.c
@@ -4,6 +4,7 @@
 #include <sys/epoll.h>
 #include <zmq.h>
 
+#include "baobabward/clock.h"
 #include "libwire/transport_tsan.h"
 
 #ifdef BB_TSAN
@@ -16,9 +17,10 @@
 }
 #endif
 
-/* TCP keepalive detects dead hosts on connections without heartbeats. */
-#define KEEPALIVE_IDLE_S 120
-#define KEEPALIVE_INTERVAL_S 15
+/* TCP keepalive closes connections whose peer is gone at the receiving side,
+ * which sends no heartbeats. */
+#define KEEPALIVE_IDLE_S 30
+#define KEEPALIVE_INTERVAL_S 10
 #define KEEPALIVE_COUNT 3
 /*
  * Time after which a connection whose data is not acknowledged is closed, so
@@ -70,27 +72,17 @@
 			      sizeof(t->secret_key));
 }
 
-static int set_dealer(struct bb_transport *t, struct bb_link *l)
+static int set_dealer(struct bb_link *l)
 {
 	if (set_int(l, ZMQ_IMMEDIATE, 1) ||
 	    set_int(l, ZMQ_RECONNECT_IVL, RECONNECT_DELAY_MS) ||
 	    set_int(l, ZMQ_RECONNECT_IVL_MAX, RECONNECT_DELAY_MAX_MS))
 		return -1;
 	/*
-	 * No limit on the receive queue: libzmq 4.3.4 aborts the process when a
-	 * heartbeat is due on a failed connection that it stopped reading
-	 * because the receive queue was full. All that a peer sends on this
-	 * socket answers requests of this node.
+	 * No limit on the receive queue: all that a peer sends on this socket
+	 * answers requests of this node.
 	 */
-	if (set_int(l, ZMQ_RCVHWM, 0))
-		return -1;
-	if (t->o.heartbeat_interval_ms < 0)
-		return 0;
-	/* The TTL makes the peer close a silent connection as well. */
-	return set_int(l, ZMQ_HEARTBEAT_IVL, t->o.heartbeat_interval_ms) ||
-	       set_int(l, ZMQ_HEARTBEAT_TIMEOUT, t->o.heartbeat_timeout_ms) ||
-	       set_int(l, ZMQ_HEARTBEAT_TTL,
-		       t->o.heartbeat_interval_ms + t->o.heartbeat_timeout_ms);
+	return set_int(l, ZMQ_RCVHWM, 0);
 }
 
 static int set_options(struct bb_transport *t, struct bb_link *l)
@@ -99,7 +91,7 @@
 	case BB_LINK_ROUTER:
 		return set_common(t, l) || set_router(t, l);
 	case BB_LINK_DEALER:
-		return set_common(t, l) || set_dealer(t, l);
+		return set_common(t, l) || set_dealer(l);
 	default:
 		return set_int(l, ZMQ_LINGER, 0);
 	}
@@ -116,6 +108,7 @@
 	l->kind = kind;
 	l->fd = -1;
 	l->last_traffic_us = t->now_us;
+	l->heard_us = bb_clock_now_us();
 	l->socket = zmq_socket(t->context, types[kind]);
 	if (!l->socket || set_options(t, l) ||
 	    zmq_getsockopt(l->socket, ZMQ_FD, &l->fd, &size) ||
--- a/src/libwire/transport_private.h
+++ b/src/libwire/transport_private.h
@@ -24,6 +24,8 @@
  * @fd: its event descriptor, registered with the epoll set
  * @host: host index of a DEALER's peer
  * @last_traffic_us: time of the last send or receive of a DEALER
+ * @heard_us: time of the last receive of a DEALER, or of its creation
+ * @heartbeat_us: time of the last heartbeat that it sent, 0 for none
  * @in_ready_queue: it is in the ready queue of the transport
  */
 struct bb_link {
@@ -32,6 +34,8 @@
 	int fd;
 	uint32_t host;
 	int64_t last_traffic_us;
+	int64_t heard_us;
+	int64_t heartbeat_us;
 	bool in_ready_queue;
 };
 
@@ -65,6 +69,7 @@
  * @hosts_by_key: public key, or host name without encryption, to host index
  *                plus 1
  * @now_us: time of the last bb_transport_close_idle()
+ * @heartbeats_us: time of the last look at the heartbeats
  * @stats: counters; @connections is not kept up to date here
  */
 struct bb_transport {
@@ -82,6 +87,7 @@
 	GHashTable *hosts_by_key;
 	GQueue ready;
 	int64_t now_us;
+	int64_t heartbeats_us;
 	struct bb_transport_stats stats;
 };
 
--- a/src/test_lib/test_transport.cc
+++ b/src/test_lib/test_transport.cc
@@ -229,6 +229,11 @@
 		thread.join();
 	}
 
+	int connections() const
+	{
+		return accepted;
+	}
+
 	void silence()
 	{
 		silenced = accepted.load();
@@ -252,6 +257,29 @@
 	}));
 }
 
+// Guards against a node that replaces all of its connections, and loses what
+// waits on them, after a pause in which it could not read its heartbeats.
+TEST(Transport, PauseKeepsConnections)
+{
+	Node a(nullptr, 0, 0, 100), b;
+	SilentRelay relay(bb_transport_port(b.t));
+	gint64 end;
+
+	a.set_peers({ { "b", "127.0.0.1", relay.port, nullptr } });
+	ASSERT_TRUE(send_when_connected({ &a, &b }, 0, 1));
+	ASSERT_TRUE(wait_for({ &a, &b }, [&] { return a.has(0, 1001); }));
+	// The heartbeat of this time is not read by the other node.
+	g_usleep(150 * 1000);
+	a.drain();
+	g_usleep(3 * G_USEC_PER_SEC / 2);
+	end = g_get_monotonic_time() + G_USEC_PER_SEC;
+	ASSERT_TRUE(wait_for({ &a, &b },
+			     [&] { return g_get_monotonic_time() > end; }));
+	ASSERT_TRUE(send_when_connected({ &a, &b }, 0, 2));
+	EXPECT_TRUE(wait_for({ &a, &b }, [&] { return a.has(0, 1002); }));
+	EXPECT_EQ(1, relay.connections());
+}
+
 // Guards against requests and replies that do not reach their receiver, and
 // against waiting for an edge of the descriptor that a send has consumed.
 TEST(Transport, RequestAndReply)
