An eighth of the hosts of a large fleet hold rates

Change: POOL_DIVISOR 8; 44 holders of 353 and 72 of 580. Measured: test_lease_map; its bound of groups a holder follows from the number of holders.

--- a/include/baobabward/lease.h
+++ b/include/baobabward/lease.h
@@ -59,7 +59,7 @@
 /**
  * bb_lease_map_new() - choose the committee of every group.
  * @c: configuration with the hosts; not kept
- * @whole: all hosts are in committees; otherwise a quarter of them, and at least
+ * @whole: all hosts are in committees; otherwise an eighth of them, and at least
  *         32, so that a node that uses many groups talks to few holders. Must be
  *         equal on all nodes.
  *
--- a/src/liblimit/lease_map.c
+++ b/src/liblimit/lease_map.c
@@ -14,7 +14,7 @@
 #include "baobabward/lease.h"
 
 /* Part of the hosts that are in committees, and the least number of them. */
-#define POOL_DIVISOR 4
+#define POOL_DIVISOR 8
 #define POOL_MIN 32
 
 /*
