--- a/src/libmember/relay.c
+++ b/src/libmember/relay.c
@@ -16,8 +16,11 @@
 #define ANSWER_SLACK_PERCENT 15
 #define EVIDENCE_PERCENT 60
 #define INTERVAL_PERCENT 40
-/* The same while peers depend on this node. */
+/* The same while peers depend on this node, and while it starts: many items may
+ * change then, as when a fleet starts, and it is not yet bound by the time. */
 #define INTERVAL_ASKED_PERCENT 20
+#define INTERVAL_START_PERCENT 75
+#define START_US (3 * BB_US_PER_S)
 /* Time for which a node that was asked by a peer keeps its evidence recent. */
 #define ASKED_US (10 * BB_US_PER_S)
 /* Shortest and longest time for which a peer that did not answer as it should
@@ -81,6 +84,7 @@
  * @era: era of the registry, -1 if unknown
  * @revision: all changes up to it are in @copy, 0 before the first list
  * @confirmed_us: time at which the registry was certainly at @revision
+ * @first_confirmed_us: first time of that kind, 0 before it
  * @lost: the registry did not answer this node's last read
  * @waiting: by host index, as many as @config has hosts
  * @waiting_nr: number of hosts that wait
@@ -104,6 +108,7 @@
 	int64_t era;
 	uint64_t revision;
 	int64_t confirmed_us;
+	int64_t first_confirmed_us;
 	bool lost;
 	struct waiting *waiting;
 	size_t waiting_nr;
@@ -221,7 +226,8 @@
 	if (!w->asked || now_us - w->answered_us < ANSWER_INTERVAL_MIN_US)
 		return;
 	if (!is_recent(r, now_us)) {
-		if (due || r->lost)
+		/* A peer that asks during an outage here may come out of one. */
+		if (due)
 			refuse(r, host, BB_REGISTRY_STALE, now_us);
 	} else if (r->revision > w->after) {
 		answer_changes(r, host, now_us);
@@ -300,6 +306,8 @@
 	r->era = era;
 	r->revision = MAX(r->revision, revision);
 	r->confirmed_us = MAX(r->confirmed_us, confirmed_us);
+	if (!r->first_confirmed_us)
+		r->first_confirmed_us = now_us;
 	r->lost = false;
 	answer_all_due(r, now_us);
 }
@@ -460,8 +468,10 @@
 
 int64_t bb_relay_interval_us(const struct bb_relay *r, int64_t now_us)
 {
-	return part_us(r, bb_relay_watch_us(r, now_us) ?
-				  INTERVAL_ASKED_PERCENT :
+	if (bb_relay_watch_us(r, now_us))
+		return part_us(r, INTERVAL_ASKED_PERCENT);
+	return part_us(r, now_us - r->first_confirmed_us < START_US ?
+				  INTERVAL_START_PERCENT :
 				  INTERVAL_PERCENT);
 }
 
