Relay: a node whose own read fails asks its peers again

Change: bb_relay_read_failed() clears the peers that are not asked; bb_relay_forget() for a restored store.

--- a/include/baobabward/relay.h
+++ b/include/baobabward/relay.h
@@ -133,14 +133,21 @@
 		      int64_t now_us);
 
 /**
- * bb_relay_lose() - the registry is out of reach, or was restored from a copy.
+ * bb_relay_read_failed() - the registry did not answer this node.
  * @r: relay
- * @forget: nothing that was read of it holds
+ * @again: nor did it the time before; peers that wait are told to read it
+ *         themselves
  * @now_us: current time
  *
- * Peers that wait are told to read it themselves.
+ * Peers that failed are asked again, since they may have had the same reason.
  */
-void bb_relay_lose(struct bb_relay *r, bool forget, int64_t now_us);
+void bb_relay_read_failed(struct bb_relay *r, bool again, int64_t now_us);
+
+/**
+ * bb_relay_forget() - nothing that was read of the registry holds, since it was
+ * restored from a copy or is another one.
+ */
+void bb_relay_forget(struct bb_relay *r, int64_t now_us);
 
 /**
  * bb_relay_read() - ask a peer for the changes after a revision.
--- a/src/libmember/relay.c
+++ b/src/libmember/relay.c
@@ -324,14 +324,21 @@
 	confirm(r, era, revision, now_us, now_us);
 }
 
-void bb_relay_lose(struct bb_relay *r, bool forget, int64_t now_us)
+void bb_relay_read_failed(struct bb_relay *r, bool again, int64_t now_us)
 {
+	g_hash_table_remove_all(r->shunned);
+	if (!again)
+		return;
 	r->lost = true;
-	if (forget) {
-		bb_registry_copy_clear(r->copy);
-		r->revision = 0;
-		r->confirmed_us = 0;
-	}
+	refuse_all(r, BB_REGISTRY_STALE, now_us);
+}
+
+void bb_relay_forget(struct bb_relay *r, int64_t now_us)
+{
+	r->lost = true;
+	bb_registry_copy_clear(r->copy);
+	r->revision = 0;
+	r->confirmed_us = 0;
 	refuse_all(r, BB_REGISTRY_STALE, now_us);
 }
 
--- a/src/test_lib/relay_fleet.h
+++ b/src/test_lib/relay_fleet.h
@@ -286,8 +286,7 @@
 			// Silence, until the request times out.
 			if (now < n.until_us + slack_us)
 				return;
-			if (n.unavailable)
-				bb_relay_lose(n.relay, false, now);
+			bb_relay_read_failed(n.relay, n.unavailable, now);
 			n.unavailable = true;
 			n.deaf = false;
 			n.reading = NOTHING;
@@ -296,7 +295,7 @@
 		}
 		if (n.era != registry.era && n.era >= 0 &&
 		    (due || registry.revision > n.revision)) {
-			bb_relay_lose(n.relay, true, now);
+			bb_relay_forget(n.relay, now);
 			n.era = registry.era;
 			n.revision = 0;
 			n.items.clear();
