Give free memory back after a change of the configuration

Change: blocks of 128 KB and more are mapped and unmapped; 2 s after a change of the configuration, and at most every 5 s, malloc_trim().

--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -1,5 +1,6 @@
 #include <ck_pr.h>
 #include <jansson.h>
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -44,6 +45,13 @@
  * linearizable, so the switch counts as agreed on for a long time.
  */
 #define FEED_AGREED_US (3600 * BB_US_PER_S)
+/*
+ * Time after a change of the configuration at which memory that is free is given
+ * back to the system, and the shortest time between two such. A new snapshot and
+ * the closed connections of hosts that left leave free memory all over the heap.
+ */
+#define MEMORY_TRIM_DELAY_US (2 * BB_US_PER_S)
+#define MEMORY_TRIM_INTERVAL_US (5 * BB_US_PER_S)
 /* Longer than the time between two requests for a digest to one neighbour. */
 #define IDLE_CONNECTION_US (15 * BB_US_PER_S)
 
@@ -546,11 +554,28 @@
 	g_mutex_unlock(&c->status_lock);
 }
 
+void bb_control_memory_changed(struct bb_control *c, int64_t now_us)
+{
+	if (!c->trim_due_us)
+		c->trim_due_us = MAX(now_us + MEMORY_TRIM_DELAY_US,
+				     c->trimmed_us + MEMORY_TRIM_INTERVAL_US);
+}
+
+static void trim_memory(struct bb_control *c, int64_t now_us)
+{
+	if (!c->trim_due_us || now_us < c->trim_due_us)
+		return;
+	malloc_trim(0);
+	c->trim_due_us = 0;
+	c->trimmed_us = now_us;
+}
+
 static gboolean on_tick(gpointer data)
 {
 	struct bb_control *c = data;
 	int64_t now_us = bb_clock_now_us();
 
+	trim_memory(c, now_us);
 	bb_member_tick(c->member, now_us);
 	bb_control_check_in_force(c, now_us);
 	bb_control_publish_current(c);
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -221,6 +221,7 @@
 	 */
 	reset_automation_agreement(c, old ? old->config : NULL);
 	bb_snapshot_put(old);
+	bb_control_memory_changed(c, now_us);
 	c->o.config_changed(c->o.data, snapshot);
 	if (c->config_in_force)
 		bb_control_publish_leaving(c);
--- a/src/libnode/control_private.h
+++ b/src/libnode/control_private.h
@@ -36,6 +36,8 @@
  * @automation_version: version from which on the switch has its present value
  * @stop_began_us: when the stop began, 0 while the node runs
  * @next_status_us: when to publish the status again
+ * @trim_due_us: when to give free memory back, 0 if nothing changed since
+ * @trimmed_us: when that was last done
  * @request_sender: sender of the message that is being processed, NULL for none
  * @status_lock: protects @status
  * @status: JSON text for operators, NULL before the first
@@ -76,6 +78,8 @@
 	uint64_t automation_version;
 	int64_t stop_began_us;
 	int64_t next_status_us;
+	int64_t trim_due_us;
+	int64_t trimmed_us;
 	const struct bb_sender *request_sender;
 	GMutex status_lock;
 	char *status;
@@ -90,6 +94,14 @@
 
 /* control.c */
 
+/**
+ * bb_control_memory_changed() - free memory is to be given back to the system in
+ *				 a while.
+ * @c: control
+ * @now_us: monotonic time
+ */
+void bb_control_memory_changed(struct bb_control *c, int64_t now_us);
+
 /**
  * bb_control_send() - send a message to a peer or to this node's own modules.
  * @data: control
--- a/src/libnode/daemon.c
+++ b/src/libnode/daemon.c
@@ -1,12 +1,18 @@
 #include "libnode/daemon.h"
 
 #include <curl/curl.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "baobabward/log.h"
 
+/* Blocks of this size and more are given back when they are freed. Without the
+ * setting, glibc raises the limit with each larger block, such as the text of a
+ * configuration, that is freed. */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
+
 static GLogLevelFlags parse_level(const char *name)
 {
 	if (!strcmp(name, "error"))
@@ -45,6 +51,7 @@
 
 	/* Writing to a closed socket or pipe must not end the process. */
 	signal(SIGPIPE, SIG_IGN);
+	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	bb_log_init(settings->host, parse_level(settings->log_level));
 	curl_global_init(CURL_GLOBAL_ALL);
 	log_start(settings);
