--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -460,7 +460,7 @@
 				 bool last_resort, int64_t now_us)
 {
 	struct member *best = NULL;
-	size_t start = next_random(b) % nr;
+	size_t start = nr ? next_random(b) % nr : 0;
 
 	for (size_t i = 0; i < nr; i++) {
 		struct member *m = &b->members[b->order[(start + i) % nr]];
