review: a cut watch keeps gone backend servers beyond DrainMs

Any failed read counts as an outage of the store, and entries that are removed within 2.2 s of its end are kept until then, which is more than DrainMs.

--- a/review/rig.c
+++ b/review/rig.c
@@ -495,15 +495,16 @@
 static char *wait_for_events(struct rig_listener *l, int64_t after,
 			     int64_t wait_ms)
 {
-	int64_t until_ms = rig_ms() + wait_ms;
+	int64_t began_ms = rig_ms();
 	int64_t number;
 	char *body = NULL;
+	bool cut = false;
 
 	pthread_mutex_lock(&store_lock);
 	number = ++l->watches_started;
 	l->watches_waiting++;
-	while (!anything_after(after) && rig_ms() < until_ms && !l->down &&
-	       number > l->watches_cut) {
+	while (!anything_after(after) && rig_ms() < began_ms + wait_ms &&
+	       !cut) {
 		struct timespec t;
 
 		clock_gettime(CLOCK_REALTIME, &t);
@@ -511,9 +512,10 @@
 		t.tv_sec += t.tv_nsec / 1000000000;
 		t.tv_nsec %= 1000000000;
 		pthread_cond_timedwait(&store_changed, &store_lock, &t);
+		cut = l->down || number <= l->watches_cut;
 	}
 	l->watches_waiting--;
-	if (!l->down && number > l->watches_cut)
+	if (!cut)
 		body = items_json("", true, after);
 	pthread_mutex_unlock(&store_lock);
 	return body;
