review: additional bytes without an id reach a client as its answer

An answer that has no X-Request-Id is taken for the answer to the request at hand, also without a seal.

--- a/review/rig.c
+++ b/review/rig.c
@@ -267,6 +267,7 @@
  */
 struct reader {
 	int fd;
+	bool extra_due;
 	size_t used;
 	char data[HEAD_MAX];
 };
@@ -321,6 +322,24 @@
 	return true;
 }
 
+/* Reads @size bytes and keeps the first ones as text. */
+static bool read_body(struct reader *r, size_t size, char *text, size_t max)
+{
+	size_t n = size < max - 1 ? size : max - 1;
+
+	while (r->used < n) {
+		ssize_t got = recv(r->fd, r->data + r->used,
+				   sizeof(r->data) - r->used, 0);
+
+		if (got <= 0)
+			return false;
+		r->used += (size_t)got;
+	}
+	memcpy(text, r->data, n);
+	text[n] = '\0';
+	return skip_bytes(r, size);
+}
+
 /* Copies the value of a header; false if there is none. */
 static bool header(const char *head, const char *name, char *value, size_t max)
 {
@@ -698,6 +717,12 @@
 	if (header(head, "X-Deadline-Ms", number, sizeof(number)))
 		deadline_ms = rig_ms() + atoll(number);
 	note_arrival(b, id);
+	if (r->extra_due) {
+		r->extra_due = false;
+		__atomic_add_fetch(&b->extras, 1, __ATOMIC_RELAXED);
+		if (!write_all(r->fd, b->extra, strlen(b->extra)))
+			return false;
+	}
 	if (b->on_run)
 		b->on_run(b, id, head);
 	__atomic_add_fetch(&b->running, 1, __ATOMIC_RELAXED);
@@ -705,6 +730,7 @@
 	__atomic_sub_fetch(&b->running, 1, __ATOMIC_RELAXED);
 	if (!done)
 		return false;
+	r->extra_due = random() % 1000 < b->extra_permille;
 	snprintf(headers, sizeof(headers),
 		 "X-Request-Id: %s\r\nX-Server-Seal: seal-%s-%s\r\n"
 		 "X-Server-Load: %d,0,64\r\n",
@@ -1022,7 +1048,7 @@
 		a->status = 0;
 	if (a->status && header(a->head, "Content-Length", number,
 				sizeof(number)) &&
-	    !skip_bytes(in, (size_t)atoll(number)))
+	    !read_body(in, (size_t)atoll(number), a->body, sizeof(a->body)))
 		a->status = 0;
 	a->sealed = a->status &&
 		    header(a->head, "X-Server-Seal", number, sizeof(number));
--- a/review/rig.h
+++ b/review/rig.h
@@ -77,6 +77,13 @@
 	int64_t last_late_ms;
 	/* Called for each request that it runs. */
 	void (*on_run)(struct rig_backend *b, const char *id, const char *head);
+	/*
+	 * Of 1,000 answers, those after which it sends additional bytes, late:
+	 * when it reads the next request on the connection.
+	 */
+	int extra_permille;
+	const char *extra;
+	int extras;
 };
 
 struct rig_backend *rig_backend_start(const char *ip, const char *id,
@@ -131,6 +138,7 @@
 	/* 0: the connection ended without a complete answer. */
 	int status;
 	bool sealed;
+	char body[256];
 	bool sent;
 	bool keep;
 	char head[4096];
