--- a/review/rig.c
+++ b/review/rig.c
@@ -167,6 +167,8 @@
 		rig_fail("cannot create a temporary folder");
 	subnet = 1 + (int)(random() % 60000);
 	shared_first_port = (uint16_t)(20000 + random() % 10000);
+	rig_record("lines of a request: > sent, = run by a backend server, < "
+		   "answered (0: no answer)");
 	rig_record("disruption: %s", rig_trouble() ? "yes" : "no (TROUBLE=0)");
 	rig_thread(watch_case, NULL);
 }
@@ -705,6 +707,7 @@
 	}
 	if (header(head, "X-Deadline-Ms", number, sizeof(number)))
 		deadline_ms = rig_ms() + atoll(number);
+	rig_record("= %s run by %s", id, b->id);
 	note_arrival(b, id);
 	if (!send_extra(b, r))
 		return false;
@@ -1014,10 +1017,22 @@
 		 (unsigned long long)n);
 }
 
+static const char *peer_name(int fd, char *text, size_t size)
+{
+	struct sockaddr_in a;
+	socklen_t n = sizeof(a);
+
+	if (getpeername(fd, (struct sockaddr *)&a, &n) ||
+	    !inet_ntop(AF_INET, &a.sin_addr, text, (socklen_t)size))
+		snprintf(text, size, "-");
+	return text;
+}
+
 void rig_exchange(int fd, const struct rig_request *r, struct rig_answer *a)
 {
 	struct reader *in = calloc(1, sizeof(*in));
 	char head[2048], number[32], key[128] = "";
+	char peer[RIG_ADDRESS_SIZE];
 	int n;
 
 	*a = (struct rig_answer){ 0 };
@@ -1029,6 +1044,8 @@
 		     "X-Deadline-Ms: %d\r\n%sContent-Length: %zu\r\n\r\n",
 		     r->method, r->path, r->host, r->id, r->deadline_ms, key,
 		     r->body_size);
+	rig_record("> %s %s %s to %s", r->id, r->method, r->path,
+		   peer_name(fd, peer, sizeof(peer)));
 	a->sent = write_all(fd, head, (size_t)n) &&
 		  write_all(fd, r->body, r->body_size);
 	if (!read_head(in, a->head, sizeof(a->head)) ||
@@ -1043,6 +1060,7 @@
 	a->keep = a->status &&
 		  !(header(a->head, "Connection", number, sizeof(number)) &&
 		    !strcasecmp(number, "close"));
+	rig_record("< %s %d%s", r->id, a->status, a->sealed ? " sealed" : "");
 	free(in);
 }
 
