Executor: log the connection of each execution and the id of a foreign answer

Three explanations looked the same in the log, which said only end=foreign: the connection stays behind, the backend server goes on sending second answers, or results are mixed up between connections. They differ in whose id the answer has, and on which connection it came.

event=executed has the local port, its message the id in the answer, and foreign_answers_total counts them.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -71,6 +71,8 @@
 	{ "notices_unreadable_total", "counter",
 	  "Headers of a backend server on its limit or leaving that cannot be "
 	  "decoded." },
+	{ "foreign_answers_total", "counter",
+	  "Answers of a backend server that have the id of another request." },
 	{ "registry_lists_total", "counter",
 	  "Complete lists read from the registry of backend servers." },
 	{ "registry_reads_total", "counter",
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -348,10 +348,10 @@
 		BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name, "executed",
 		"backend=%s end=%s status=%u queued_ms=%" G_GINT64_FORMAT
 		" took_ms=%" G_GINT64_FORMAT
-		" new_connection=%d running=%u waiting=%u slots=%u limit=%g",
+		" new_connection=%d port=%u running=%u waiting=%u slots=%u limit=%g",
 		job->backend->name, bb_execution_end_string[r->end], r->status,
 		(job->started_us - job->queue_entry.pushed_us) / BB_US_PER_MS,
-		r->latency_us / BB_US_PER_MS, r->new_connection,
+		r->latency_us / BB_US_PER_MS, r->new_connection, r->local_port,
 		bb_queue_running(q), bb_queue_waiting(q),
 		bb_queue_load(q, bb_clock_now_us()).slots,
 		r->notice.limit == BB_LIMIT_NAMED ? r->notice.limit_per_s :
@@ -406,6 +406,8 @@
 	count_connection(job, r->end == BB_EXECUTION_DONE, r->new_connection);
 	count_closed_idle(b, r->closed_idle);
 	update_breaker(job, outcome_kind(r), bb_clock_now_us());
+	if (r->end == BB_EXECUTION_FOREIGN)
+		bb_metrics_add(BB_METRIC_FOREIGN_ANSWERS, 1);
 	if (r->end == BB_EXECUTION_DONE || r->end == BB_EXECUTION_REFUSED)
 		take_notice(job, &r->notice);
 	report_observation(job, outcome_kind(r), r->latency_us,
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -73,8 +73,9 @@
  * @body_length_known: the head tells where the body ends
  * @has_content_length: the head has the length of the body
  * @not_executed: the response states that the request was not run
- * @foreign: the response belongs to another request
  * @request_id: value of the request id header of the dialect, or NULL
+ * @foreign_id: request id in the response if it is that of another request, or
+ *              NULL
  * @started_us: when the request was started
  * @opened_us: when its connection was opened, 0 if unknown
  * @detail: error text of libcurl
@@ -97,9 +98,9 @@
 	bool body_length_known;
 	bool has_content_length;
 	bool not_executed;
-	bool foreign;
 	const struct bb_dialect *dialect;
 	char *request_id;
+	char *foreign_id;
 	int64_t started_us;
 	int64_t opened_us;
 	GByteArray *response_body;
@@ -122,6 +123,7 @@
 	g_free(x->url);
 	g_free(x->body);
 	g_free(x->request_id);
+	g_free(x->foreign_id);
 	g_byte_array_unref(x->response_body);
 	g_string_free(x->response_head, TRUE);
 	g_array_unref(x->response_headers);
@@ -133,7 +135,7 @@
 {
 	long request_size = 0;
 
-	if (x->foreign)
+	if (x->foreign_id)
 		return BB_EXECUTION_FOREIGN;
 	if (x->head_complete && status == HTTP_MISDIRECTED &&
 	    x->dialect->backend_id)
@@ -177,9 +179,10 @@
 	if (bb_header_named(&h->name, d->not_executed))
 		x->not_executed = x->head_complete;
 	/* The response belongs to an earlier request on this connection. */
-	if (x->request_id && bb_header_named(&h->name, d->request_id) &&
+	if (x->request_id && !x->foreign_id &&
+	    bb_header_named(&h->name, d->request_id) &&
 	    !is_request_id(x, &h->value))
-		x->foreign = true;
+		x->foreign_id = g_strndup(h->value.data, h->value.size);
 }
 
 static void parse_head(struct bb_execution *x)
@@ -224,9 +227,11 @@
 	struct bb_execution_result r = { 0 };
 	long status = 0;
 	long connects = 0;
+	long local_port = 0;
 
 	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
+	curl_easy_getinfo(x->easy, CURLINFO_LOCAL_PORT, &local_port);
 	x->body_length_known = x->no_body || status == 204 || status == 304;
 	parse_head(x);
 	r.end = classify(x, code, status);
@@ -240,8 +245,12 @@
 	r.body.size = x->response_body->len;
 	r.latency_us = bb_clock_now_us() - x->started_us;
 	r.new_connection = connects > 0;
+	r.local_port = (unsigned int)local_port;
 	r.opened_us = x->opened_us;
 	r.closed_idle = update_connections(x, r.end == BB_EXECUTION_TIMEOUT);
+	if (x->foreign_id)
+		g_snprintf(x->detail, sizeof(x->detail),
+			   "the answer has the request id %s", x->foreign_id);
 	r.detail = x->detail[0] ? x->detail : curl_easy_strerror(code);
 	x->done(x->data, &r);
 	g_hash_table_remove(x->executor->executions, x);
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -107,13 +107,14 @@
  * @body: response body
  * @latency_us: time from start to end
  * @new_connection: a new connection was opened for the request
+ * @local_port: port of this end of its connection, 0 if there was none
  * @opened_us: when its connection was opened, 0 if unknown
  * @closed_idle: number of idle connections to the backend server closed because
  *               they no longer work, see connections.h
  * @notice: what the backend server says of itself; nothing unless @end is
  *          BB_EXECUTION_DONE or BB_EXECUTION_REFUSED, since other answers may
  *          be damaged or of another backend server
- * @detail: error text of libcurl
+ * @detail: why it failed, for the log
  */
 struct bb_execution_result {
 	enum bb_execution_end end;
@@ -123,6 +124,7 @@
 	struct bb_bytes body;
 	int64_t latency_us;
 	bool new_connection;
+	unsigned int local_port;
 	int64_t opened_us;
 	unsigned int closed_idle;
 	struct bb_notice notice;
