Executor: close the connection of an answer to another request

Cause: an answer with the id of another request ended its execution as foreign, but libcurl had read a complete response and kept the connection. The answer to the request that was sent came on it later and was taken for the answer to the next one, and so on.

Change: the id is compared while the head is read; for another request's answer the header callback returns 0, so that libcurl ends the transfer as failed and closes the connection. This also holds for interim responses and trailers. It works because no later request can use a connection of which an answer is still due; the backend server sees that its caller has left.

--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -161,13 +161,6 @@
 	return x->head_complete ? BB_EXECUTION_TRUNCATED : BB_EXECUTION_BROKEN;
 }
 
-static bool is_request_id(const struct bb_execution *x,
-			  const struct bb_bytes *value)
-{
-	return value->size == strlen(x->request_id) &&
-	       !memcmp(value->data, x->request_id, value->size);
-}
-
 static void inspect_header(struct bb_execution *x, const struct bb_header *h)
 {
 	const struct bb_dialect *d = x->dialect;
@@ -178,11 +171,6 @@
 		x->body_length_known = true;
 	if (bb_header_named(&h->name, d->not_executed))
 		x->not_executed = x->head_complete;
-	/* The response belongs to an earlier request on this connection. */
-	if (x->request_id && !x->foreign_id &&
-	    bb_header_named(&h->name, d->request_id) &&
-	    !is_request_id(x, &h->value))
-		x->foreign_id = g_strndup(h->value.data, h->value.size);
 }
 
 static void parse_head(struct bb_execution *x)
@@ -434,6 +422,33 @@
 	return n;
 }
 
+static bool is_request_id(const struct bb_execution *x,
+			  const struct bb_bytes *value)
+{
+	return value->size == strlen(x->request_id) &&
+	       !memcmp(value->data, x->request_id, value->size);
+}
+
+static void check_request_id(struct bb_execution *x, const char *line, size_t n)
+{
+	struct bb_header h;
+
+	if (x->request_id && !x->foreign_id && bb_header_parse(line, n, &h) &&
+	    bb_header_named(&h.name, x->dialect->request_id) &&
+	    !is_request_id(x, &h.value))
+		x->foreign_id = g_strndup(h.value.data, h.value.size);
+}
+
+/*
+ * Return: @n, or 0 after the head or a trailer of a response to another
+ * request. Then libcurl ends the execution and closes the connection, on which
+ * the response to this request would be taken for that to the next one.
+ */
+static size_t continue_unless_foreign(const struct bb_execution *x, size_t n)
+{
+	return x->foreign_id ? 0 : n;
+}
+
 static size_t on_header(char *data, size_t size, size_t nr, void *user)
 {
 	struct bb_execution *x = user;
@@ -454,10 +469,11 @@
 
 		curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
 		x->head_complete = status >= 200;
-		return n;
+		return continue_unless_foreign(x, n);
 	}
 	g_string_append_len(x->response_head, data, (gssize)n);
-	return n;
+	check_request_id(x, data, n);
+	return x->head_complete ? continue_unless_foreign(x, n) : n;
 }
 
 static void append_header(struct bb_execution *x, const char *name,
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -9,6 +9,9 @@
  * responses and trailers, and a body are read up to a limit, and the bodies of
  * all responses in progress share one; then the connection is closed.
  *
+ * A connection is closed after a response to another request: the response to
+ * the one that was sent may still arrive on it.
+ *
  * After a time-out without a byte of response on a reused connection, idle
  * connections to the same backend server are closed by the rules of
  * connections.h.
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstring>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -76,6 +77,16 @@
 	std::string body;
 };
 
+void keep_result(void *data, const struct bb_execution_result *x)
+{
+	auto *to = (Result *)data;
+
+	to->done = true;
+	to->end = x->end;
+	to->status = x->status;
+	to->body.assign(x->body.data ? x->body.data : "", x->body.size);
+}
+
 Result execute(const std::string &answer, bool reset = false,
 	       const struct bb_dialect *dialect = &kDialect,
 	       std::string *request = nullptr)
@@ -99,19 +110,7 @@
 		r.at_most_once = true;
 		r.dialect = dialect;
 		r.backend_id = "i-1";
-		bb_executor_start(
-			e, &r,
-			[](void *data, const struct bb_execution_result *x) {
-				auto *to = (Result *)data;
-
-				to->done = true;
-				to->end = x->end;
-				to->status = x->status;
-				to->body.assign(x->body.data ? x->body.data :
-							       "",
-						x->body.size);
-			},
-			&result, nullptr);
+		bb_executor_start(e, &r, keep_result, &result, nullptr);
 		while (!result.done)
 			g_main_context_iteration(context, TRUE);
 		s.thread.join();
@@ -158,6 +157,129 @@
 		  execute("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").end);
 }
 
+namespace
+{
+
+// A backend server that keeps its connections. @serve writes all that is sent
+// after the request number @request on connection number @connection, both
+// counted from 0.
+struct KeepingServer {
+	using Serve = std::function<void(int fd, int connection, int request)>;
+
+	int fd;
+	std::string url;
+	std::atomic<int> connections{ 0 };
+	std::thread thread;
+	std::vector<std::thread> workers;
+
+	explicit KeepingServer(const Serve &serve)
+	{
+		fd = listening_socket(&url);
+		thread = std::thread([this, serve] {
+			for (;;) {
+				int c = accept(fd, nullptr, nullptr);
+				int nr = connections;
+
+				if (c < 0)
+					break;
+				connections++;
+				workers.emplace_back(
+					[c, nr, serve] { run(c, nr, serve); });
+			}
+		});
+	}
+	~KeepingServer()
+	{
+		shutdown(fd, SHUT_RDWR);
+		thread.join();
+		for (auto &w : workers)
+			w.join();
+		close(fd);
+	}
+	static void run(int c, int nr, const Serve &serve)
+	{
+		char buffer[4096];
+
+		for (int i = 0; recv(c, buffer, sizeof(buffer), 0) > 0; i++)
+			serve(c, nr, i);
+		close(c);
+	}
+};
+
+void send_text(int fd, const std::string &text)
+{
+	send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+// An answer with the request id @id, or without one, and the body @body.
+std::string answer(const std::string &id, const std::string &body)
+{
+	return "HTTP/1.1 200 OK\r\n" +
+	       (id.empty() ? "" : "X-Id: " + id + "\r\n") +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+// Sends idempotent requests through one executor, which keeps connections.
+struct Caller {
+	GMainContext *context = g_main_context_new();
+	struct bb_executor *executor = bb_executor_new(context, nullptr);
+
+	~Caller()
+	{
+		bb_executor_delete(executor);
+		g_main_context_unref(context);
+	}
+	Result get(const std::string &url, const std::string &id)
+	{
+		struct bb_header h = { { "X-Id", 4 },
+				       { id.data(), id.size() } };
+		struct bb_execution_request r = {};
+		Result result;
+
+		r.url = url.c_str();
+		r.target = { "/x", 2 };
+		r.method = { "GET", 3 };
+		r.headers = &h;
+		r.headers_nr = id.empty() ? 0 : 1;
+		r.timeout_us = 10000000;
+		r.max_body = 100;
+		r.dialect = &kDialect;
+		bb_executor_start(executor, &r, keep_result, &result, nullptr);
+		while (!result.done)
+			g_main_context_iteration(context, TRUE);
+		return result;
+	}
+};
+
+} // namespace
+
+// Guards against a connection that is used again after an answer to another
+// request, and so stays one answer behind: each later request on it fails while
+// its backend server answers it.
+TEST(Executor, ConnectionIsClosedAfterAForeignAnswer)
+{
+	KeepingServer s([](int fd, int connection, int request) {
+		const std::string first[] = { answer("one", "1"),
+					      answer("one", "1"),
+					      answer("two", "2") };
+
+		// The answer to the second request follows the third one.
+		if (!connection && request < 3)
+			send_text(fd, first[request]);
+		else
+			send_text(fd, answer("three", "3"));
+	});
+	Caller c;
+
+	EXPECT_EQ(BB_EXECUTION_DONE, c.get(s.url, "one").end);
+	EXPECT_EQ(BB_EXECUTION_FOREIGN, c.get(s.url, "two").end);
+	Result third = c.get(s.url, "three");
+	EXPECT_EQ(BB_EXECUTION_DONE, third.end);
+	EXPECT_EQ("3", third.body);
+	EXPECT_EQ(2, s.connections);
+}
+
 // Guards against a refusal by the backend server that counts as run, and
 // against a plain 503, after which the request may have run, that counts as a
 // refusal.
