Connections: an execution that ended does not free another one's connection

A request that opened a connection meanwhile may have got the same descriptor; its connection then counted as idle, and closing idle connections after a time-out could end it while its backend server was at work. Read in the code; no run has shown it at a caller.

A connection is noted with the request that uses it, and only that one frees it.

Connections.DescriptorInUseAgainStaysBusy: written with the former calls it failed (the connection in use was closed); it passes now.

--- a/src/libnode/connections.c
+++ b/src/libnode/connections.c
@@ -7,14 +7,14 @@
  * @origin: backend server that it leads to
  * @opened_us: time of its opening
  * @answered_us: time of the last answer on it, INT64_MIN for none
- * @busy: a request uses it
+ * @user: request that uses it, NULL if it is idle
  * @closing: the owner was told to close it
  */
 struct connection {
 	struct origin *origin;
 	int64_t opened_us;
 	int64_t answered_us;
-	bool busy;
+	const void *user;
 	bool closing;
 };
 
@@ -123,16 +123,24 @@
 		g_hash_table_remove(c->origins, o->url);
 }
 
-int64_t bb_connections_set_busy(struct bb_connections *c, int fd, bool busy)
+int64_t bb_connections_use(struct bb_connections *c, int fd, const void *user)
 {
 	struct connection *n = find(c, fd);
 
 	if (!n)
 		return INT64_MAX;
-	n->busy = busy;
+	n->user = user;
 	return n->opened_us;
 }
 
+void bb_connections_release(struct bb_connections *c, int fd, const void *user)
+{
+	struct connection *n = find(c, fd);
+
+	if (n && n->user == user)
+		n->user = NULL;
+}
+
 /*
  * Closes the idle connections that were opened and last answered before
  * @began_us, the beginning of a request that timed out.
@@ -148,7 +156,7 @@
 	while (g_hash_table_iter_next(&i, &fd, &value)) {
 		struct connection *n = value;
 
-		if (n->origin != o || n->busy || n->closing ||
+		if (n->origin != o || n->user || n->closing ||
 		    n->opened_us >= began_us || n->answered_us >= began_us)
 			continue;
 		n->closing = true;
--- a/src/libnode/connections.h
+++ b/src/libnode/connections.h
@@ -48,12 +48,23 @@
 void bb_connections_closed(struct bb_connections *c, int fd);
 
 /**
- * bb_connections_set_busy() - note that a request uses a connection, or that
- * the request has ended.
+ * bb_connections_use() - note that a request uses a connection.
+ * @c: connections
+ * @fd: its socket
+ * @user: identifies the request
  *
  * Return: time when the connection was opened, INT64_MAX if it is not tracked.
  */
-int64_t bb_connections_set_busy(struct bb_connections *c, int fd, bool busy);
+int64_t bb_connections_use(struct bb_connections *c, int fd, const void *user);
+
+/**
+ * bb_connections_release() - note that a request has ended.
+ * @c: connections
+ * @fd: socket that it used; it may be closed already, and the descriptor that
+ *      of another connection
+ * @user: as for bb_connections_use()
+ */
+void bb_connections_release(struct bb_connections *c, int fd, const void *user);
 
 /**
  * bb_connections_answered() - note that the head of a response was received.
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -206,7 +206,7 @@
 		nr = bb_connections_request_timed_out(c, x->origin,
 						      x->started_us);
 	if (x->fd >= 0)
-		bb_connections_set_busy(c, x->fd, false);
+		bb_connections_release(c, x->fd, x);
 	return nr;
 }
 
@@ -285,7 +285,7 @@
 	if (!x || x->fd == fd)
 		return;
 	x->fd = fd;
-	x->opened_us = bb_connections_set_busy(e->connections, fd, true);
+	x->opened_us = bb_connections_use(e->connections, fd, x);
 	x->reused = x->opened_us < x->started_us;
 	if (x->opened_us == INT64_MAX)
 		x->opened_us = 0;
--- a/src/test_lib/test_connections.cc
+++ b/src/test_lib/test_connections.cc
@@ -184,7 +184,7 @@
 	x.used(3, 10, 40);
 	x.used(4, 10, 40, "b");
 	x.used(5, 10, 40);
-	bb_connections_set_busy(x.c, 5, true);
+	bb_connections_use(x.c, 5, &x);
 	bb_connections_opened(x.c, 6, "a", 110);
 	bb_connections_answered(x.c, 3, "a", 120);
 	bb_connections_closed(x.c, 1);
@@ -220,6 +220,24 @@
 	EXPECT_FALSE(bb_connections_avoid_reuse(x.c, "a"));
 }
 
+// Guards against closing a connection in use as idle, because a request ended
+// whose own connection had been closed and had the same descriptor.
+TEST(Connections, DescriptorInUseAgainStaysBusy)
+{
+	Connections x;
+	int first, second;
+
+	x.used(1, 10, 20);
+	bb_connections_use(x.c, 1, &first);
+	bb_connections_closed(x.c, 1);
+	bb_connections_opened(x.c, 1, "a", 50);
+	bb_connections_use(x.c, 1, &second);
+	bb_connections_release(x.c, 1, &first);
+	x.used(2, 60, 130);
+	bb_connections_request_timed_out(x.c, "a", 100);
+	EXPECT_TRUE(x.closed.empty());
+}
+
 // Guards against attributing a response to another connection: the time of the
 // opening of its connection shows whether a backend server was restarted.
 TEST(Executor, ReportsWhenTheConnectionWasOpened)
