Executor: do not send a request on an idle connection on which bytes arrived

A late second answer, or other bytes after a complete answer, that arrive while the connection is idle were then taken for the answer to the next request: it got 502 (another id), or, where requests have no id, the wrong answer.

Change: before a request that may use an open connection, the idle ones to the same server are checked for unread bytes (one recv with MSG_PEEK each) and closed if there are any; unsolicited_answers_total and event=unsolicited_answer tell. Such bytes cannot belong to a request, because none was in progress. What arrives between this check and the request is left to the comparison of ids. The check holds for all users of the executor: requests of callers, calls between services, trial requests, the store and the list of hosts. Health checks and bookings always open a connection. The other users of libcurl ask for signed or versioned data (configuration source) or ignore the body (trace export).

Executor.IdleConnectionThatGotBytesIsNotUsed fails on the commit before (the second request gets the body of the first) and passes now.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -73,6 +73,8 @@
 	  "decoded." },
 	{ "foreign_answers_total", "counter",
 	  "Answers of a backend server that have the id of another request." },
+	{ "unsolicited_answers_total", "counter",
+	  "Idle connections closed because bytes arrived on them." },
 	{ "registry_lists_total", "counter",
 	  "Complete lists read from the registry of backend servers." },
 	{ "registry_reads_total", "counter",
--- a/src/libnode/connections.c
+++ b/src/libnode/connections.c
@@ -141,6 +141,12 @@
 		n->user = NULL;
 }
 
+static void close_idle(struct bb_connections *c, int fd, struct connection *n)
+{
+	n->closing = true;
+	c->close(c->data, fd);
+}
+
 /*
  * Closes the idle connections that were opened and last answered before
  * @began_us, the beginning of a request that timed out.
@@ -159,8 +165,31 @@
 		if (n->origin != o || n->user || n->closing ||
 		    n->opened_us >= began_us || n->answered_us >= began_us)
 			continue;
-		n->closing = true;
-		c->close(c->data, GPOINTER_TO_INT(fd));
+		close_idle(c, GPOINTER_TO_INT(fd), n);
+		nr++;
+	}
+	return nr;
+}
+
+unsigned int bb_connections_close_unsolicited(struct bb_connections *c,
+					      const char *origin,
+					      bool (*has_bytes)(int fd))
+{
+	const struct origin *o = g_hash_table_lookup(c->origins, origin);
+	GHashTableIter i;
+	gpointer fd, value;
+	unsigned int nr = 0;
+
+	if (!o)
+		return 0;
+	g_hash_table_iter_init(&i, c->by_fd);
+	while (g_hash_table_iter_next(&i, &fd, &value)) {
+		struct connection *n = value;
+
+		if (n->origin != o || n->user || n->closing ||
+		    !has_bytes(GPOINTER_TO_INT(fd)))
+			continue;
+		close_idle(c, GPOINTER_TO_INT(fd), n);
 		nr++;
 	}
 	return nr;
--- a/src/libnode/connections.h
+++ b/src/libnode/connections.h
@@ -1,6 +1,6 @@
 /*
- * Tracks the open connections to backend servers and finds dead idle ones,
- * that is, connections that lead to a working server but get no answer any
+ * Tracks the open connections to backend servers and finds idle ones that must
+ * not be used again. Dead ones lead to a working server but get no answer any
  * more. The module only decides; the owner of the sockets closes them.
  *
  * When a request on a reused connection gets no byte in time, and an answer
@@ -8,6 +8,9 @@
  * to the same backend server that have not answered since then are closed. What
  * broke the first one, such as a lost entry in the connection table of a
  * firewall, is assumed to have broken them as well.
+ *
+ * An idle connection on which bytes arrived is closed before the next request,
+ * which would take them for its answer.
  */
 #ifndef BB_NODE_CONNECTIONS_H
 #define BB_NODE_CONNECTIONS_H
@@ -91,6 +94,19 @@
 					      const char *origin,
 					      int64_t began_us);
 
+/**
+ * bb_connections_close_unsolicited() - close the idle connections to a backend
+ * server on which bytes arrived, which cannot be the answer to a request.
+ * @c: connections
+ * @origin: URL of the backend server
+ * @has_bytes: whether unread bytes wait on a socket
+ *
+ * Return: number of connections closed.
+ */
+unsigned int bb_connections_close_unsolicited(struct bb_connections *c,
+					      const char *origin,
+					      bool (*has_bytes)(int fd));
+
 /**
  * bb_connections_avoid_reuse() - whether the next request should open a new
  * connection, because a request on a reused one timed out and no connection
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -11,6 +11,7 @@
 
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
+#include "baobabward/metrics.h"
 #include "libnode/connections.h"
 #include "libnode/headers.h"
 #include "libnode/loop.h"
@@ -580,6 +581,27 @@
 	g_free(method);
 }
 
+static bool has_bytes(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* libcurl would reuse a connection on which bytes arrived while it was idle. */
+static void close_unsolicited(struct bb_executor *e, const char *origin)
+{
+	unsigned int nr = bb_connections_close_unsolicited(e->connections,
+							   origin, has_bytes);
+
+	if (!nr)
+		return;
+	bb_metrics_add(BB_METRIC_UNSOLICITED_ANSWERS, nr);
+	bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL,
+		     "unsolicited_answer", "origin=%s connections=%u", origin,
+		     nr);
+}
+
 struct bb_execution *bb_executor_start(struct bb_executor *e,
 				       const struct bb_execution_request *r,
 				       bb_execution_done *done, void *data,
@@ -606,6 +628,8 @@
 	x->response_headers =
 		g_array_new(FALSE, FALSE, sizeof(struct bb_header));
 	x->easy = curl_easy_init();
+	if (!r->at_most_once)
+		close_unsolicited(e, r->url);
 	if (x->easy)
 		set_options(x, r);
 	if (!x->easy || curl_multi_add_handle(e->multi, x->easy) != CURLM_OK) {
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -280,6 +280,73 @@
 	EXPECT_EQ(2, s.connections);
 }
 
+// Guards against a request that is sent on a connection on which bytes arrived
+// while it was idle, and that takes them for its answer.
+TEST(Executor, IdleConnectionThatGotBytesIsNotUsed)
+{
+	// Requests without an id, as to a configuration service, would take
+	// the bytes for their answer.
+	for (std::string id : { "two", "" }) {
+		std::atomic<bool> sent{ false };
+		KeepingServer s([&](int fd, int connection, int) {
+			if (connection) {
+				send_text(fd, answer(id, "2"));
+				return;
+			}
+			send_text(fd, answer("", "1"));
+			usleep(50000);
+			send_text(fd, answer("", "1"));
+			sent = true;
+		});
+		Caller c;
+
+		EXPECT_EQ(BB_EXECUTION_DONE, c.get(s.url, "").end);
+		while (!sent)
+			usleep(1000);
+		Result second = c.get(s.url, id);
+		EXPECT_EQ(BB_EXECUTION_DONE, second.end);
+		EXPECT_EQ("2", second.body);
+		EXPECT_EQ(2, s.connections);
+	}
+}
+
+// Guards against a second copy of an answer, or a part of one, that comes right
+// behind the answer and is taken for the next one, whatever ends the answer.
+TEST(Executor, BytesBehindAnAnswerAreNotTheNextOne)
+{
+	const std::string ends[] = {
+		"Content-Length: 1\r\n\r\n1",
+		"Transfer-Encoding: chunked\r\n\r\n1\r\n1\r\n0\r\n\r\n",
+	};
+
+	for (auto &end : ends)
+		for (size_t part : { 1, 8, 1000 }) {
+			const std::string all =
+				"HTTP/1.1 200 OK\r\nX-Id: one\r\n" + end;
+			std::atomic<bool> sent{ false };
+			KeepingServer s([&](int fd, int connection, int) {
+				if (connection || sent) {
+					send_text(fd, answer("two", "2"));
+					return;
+				}
+				send_text(fd, all + all.substr(0, part));
+				usleep(20000);
+				if (part < all.size())
+					send_text(fd, all.substr(part));
+				sent = true;
+			});
+			Caller c;
+
+			EXPECT_EQ(BB_EXECUTION_DONE, c.get(s.url, "one").end);
+			while (!sent)
+				usleep(1000);
+			Result second = c.get(s.url, "two");
+			EXPECT_EQ(BB_EXECUTION_DONE, second.end)
+				<< end << part;
+			EXPECT_EQ("2", second.body) << end << part;
+		}
+}
+
 // Guards against a refusal by the backend server that counts as run, and
 // against a plain 503, after which the request may have run, that counts as a
 // refusal.
