Executor: an answer without the request id belongs to no request

Cause: an answer counted as foreign only if it had another request's id. Without the header it was taken for the answer, although backend servers that speak the dialect repeat the id; a stray "not executed" or 421 even counted as proof that the request had not run.

Change: an answer to a request with an id must have that id in its head, and no other one; otherwise it ends as foreign, and its connection is closed. An interim response needs none. A trailer with another id ends the execution, too. Requests without an id, and dialects without such a header, are as before.

--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -75,6 +75,7 @@
  * @has_content_length: the head has the length of the body
  * @not_executed: the response states that the request was not run
  * @request_id: value of the request id header of the dialect, or NULL
+ * @identified: the head of the response has the request id
  * @foreign_id: request id in the response if it is that of another request, or
  *              NULL
  * @started_us: when the request was started
@@ -101,6 +102,7 @@
 	bool not_executed;
 	const struct bb_dialect *dialect;
 	char *request_id;
+	bool identified;
 	char *foreign_id;
 	int64_t started_us;
 	int64_t opened_us;
@@ -131,12 +133,19 @@
 	g_free(x);
 }
 
+/* Whether the response is not, or not provably, that to this request. */
+static bool is_foreign(const struct bb_execution *x)
+{
+	return x->foreign_id ||
+	       (x->request_id && x->head_complete && !x->identified);
+}
+
 static enum bb_execution_end classify(const struct bb_execution *x,
 				      CURLcode code, long status)
 {
 	long request_size = 0;
 
-	if (x->foreign_id)
+	if (is_foreign(x))
 		return BB_EXECUTION_FOREIGN;
 	if (x->head_complete && status == HTTP_MISDIRECTED &&
 	    x->dialect->backend_id)
@@ -240,6 +249,9 @@
 	if (x->foreign_id)
 		g_snprintf(x->detail, sizeof(x->detail),
 			   "the answer has the request id %s", x->foreign_id);
+	else if (is_foreign(x))
+		g_strlcpy(x->detail, "the answer has no request id",
+			  sizeof(x->detail));
 	r.detail = x->detail[0] ? x->detail : curl_easy_strerror(code);
 	x->done(x->data, &r);
 	g_hash_table_remove(x->executor->executions, x);
@@ -434,20 +446,23 @@
 {
 	struct bb_header h;
 
-	if (x->request_id && !x->foreign_id && bb_header_parse(line, n, &h) &&
-	    bb_header_named(&h.name, x->dialect->request_id) &&
-	    !is_request_id(x, &h.value))
+	if (!x->request_id || !bb_header_parse(line, n, &h) ||
+	    !bb_header_named(&h.name, x->dialect->request_id))
+		return;
+	if (is_request_id(x, &h.value))
+		x->identified = true;
+	else if (!x->foreign_id)
 		x->foreign_id = g_strndup(h.value.data, h.value.size);
 }
 
 /*
- * Return: @n, or 0 after the head or a trailer of a response to another
- * request. Then libcurl ends the execution and closes the connection, on which
+ * Return: @n, or 0 after the head or a trailer of a response that is not the
+ * one to this request. Then libcurl ends the execution and closes the connection, on which
  * the response to this request would be taken for that to the next one.
  */
 static size_t continue_unless_foreign(const struct bb_execution *x, size_t n)
 {
-	return x->foreign_id ? 0 : n;
+	return is_foreign(x) ? 0 : n;
 }
 
 static size_t on_header(char *data, size_t size, size_t nr, void *user)
@@ -463,6 +478,7 @@
 	if (n >= 5 && !memcmp(data, "HTTP/", 5)) {
 		g_string_truncate(x->response_head, 0);
 		x->head_complete = false;
+		x->identified = false;
 		return n;
 	}
 	if (n <= 2) {
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -9,8 +9,8 @@
  * responses and trailers, and a body are read up to a limit, and the bodies of
  * all responses in progress share one; then the connection is closed.
  *
- * A connection is closed after a response to another request: the response to
- * the one that was sent may still arrive on it. So is an idle connection on
+ * A connection is closed after a response to another request or to none: the
+ * response to the one that was sent may still arrive on it. So is an idle connection on
  * which bytes arrived.
  *
  * After a time-out without a byte of response on a reused connection, idle
@@ -52,7 +52,9 @@
  * @BB_EXECUTION_TOO_LARGE: the response body has a length over the limit
  * @BB_EXECUTION_REFUSED: the response states that the request was not run
  * @BB_EXECUTION_MISDIRECTED: another backend server answers at the address
- * @BB_EXECUTION_FOREIGN: the response belongs to another request
+ * @BB_EXECUTION_FOREIGN: the response belongs to another request, or to none:
+ *                        its head has another request id, or none although the
+ *                        request has one
  */
 enum bb_execution_end {
 	BB_EXECUTION_DONE,
