--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -190,7 +190,8 @@
 	       body;
 }
 
-// Sends idempotent requests through one executor, which keeps connections.
+// Sends requests one after the other through one executor, which keeps the
+// connections of those that are idempotent.
 struct Caller {
 	GMainContext *context = g_main_context_new();
 	struct bb_executor *executor = bb_executor_new(context, nullptr);
@@ -200,7 +201,8 @@
 		bb_executor_delete(executor);
 		g_main_context_unref(context);
 	}
-	Result get(const std::string &url, const std::string &id)
+	Result get(const std::string &url, const std::string &id,
+		   bool once = false)
 	{
 		struct bb_header h = { { "X-Id", 4 },
 				       { id.data(), id.size() } };
@@ -214,6 +216,7 @@
 		r.headers_nr = id.empty() ? 0 : 1;
 		r.timeout_us = 10000000;
 		r.max_body = 100;
+		r.at_most_once = once;
 		r.dialect = &kDialect;
 		bb_executor_start(executor, &r, keep_result, &result, nullptr);
 		while (!result.done)
@@ -363,6 +366,29 @@
 	}
 }
 
+// Guards against bookings and health checks that meet what is still due on a
+// connection of a lookup, or leave their own to the next lookup. Health checks
+// have no id by which their answer could be told.
+TEST(Executor, RequestsThatRunOnceShareNoConnection)
+{
+	std::atomic<int> sent{ 0 };
+	KeepingServer s([&](int fd, int connection, int) {
+		std::string body = std::to_string(connection);
+
+		send_text(fd, answer("", body));
+		send_text(fd, answer("", "second"));
+		sent++;
+	});
+	Caller c;
+
+	for (int i = 0; i < 6; i++) {
+		EXPECT_EQ(std::to_string(i), c.get(s.url, "", i % 2).body);
+		while (sent <= i)
+			usleep(1000);
+	}
+	EXPECT_EQ(6, s.connections);
+}
+
 // Guards against a second copy of an answer, or a part of one, that comes right
 // behind the answer and is taken for the next one, whatever ends the answer.
 TEST(Executor, BytesBehindAnAnswerAreNotTheNextOne)
