--- a/include/baobabward/dialect.h
+++ b/include/baobabward/dialect.h
@@ -28,7 +28,8 @@
  * @deadline: header with the milliseconds that the sender will wait, from
  *            callers and to backend servers
  * @request_id: header with the caller's identifier of the request; passed on,
- *              used in logs, and repeated in the backend server's answer
+ *              used in logs, and repeated in the backend server's answer;
+ *              an answer without it, or with another one, is not passed on
  * @caller_service: header with the service on whose host the request began; set
  *                  by the node
  * @backend_id: header with the name of the backend server that a request is
