--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -72,7 +72,8 @@
 	  "Headers of a backend server on its limit or leaving that cannot be "
 	  "decoded." },
 	{ "foreign_answers_total", "counter",
-	  "Answers of a backend server that have no id or that of another request." },
+	  "Answers of a backend server that have no id or that of another "
+	  "request." },
 	{ "unsolicited_answers_total", "counter",
 	  "Idle connections closed because bytes arrived on them." },
 	{ "registry_lists_total", "counter",
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -457,8 +457,9 @@
 
 /*
  * Return: @n, or 0 after the head or a trailer of a response that is not the
- * one to this request. Then libcurl ends the execution and closes the connection, on which
- * the response to this request would be taken for that to the next one.
+ * one to this request. Then libcurl ends the execution and closes the
+ * connection, on which the response to this request would be taken for that to
+ * the next one.
  */
 static size_t continue_unless_foreign(const struct bb_execution *x, size_t n)
 {
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -10,8 +10,8 @@
  * all responses in progress share one; then the connection is closed.
  *
  * A connection is closed after a response to another request or to none: the
- * response to the one that was sent may still arrive on it. So is an idle connection on
- * which bytes arrived.
+ * response to the one that was sent may still arrive on it. So is an idle
+ * connection on which bytes arrived.
  *
  * After a time-out without a byte of response on a reused connection, idle
  * connections to the same backend server are closed by the rules of
