--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -253,6 +253,15 @@
 			  .end);
 	EXPECT_EQ(BB_EXECUTION_DONE,
 		  execute(kOk + "Content-Length: 0\r\n\r\n").end);
+	// Also where only a trailer or an interim response tells.
+	EXPECT_EQ(BB_EXECUTION_FOREIGN,
+		  execute(kOk + "Transfer-Encoding: chunked\r\n\r\n"
+				"0\r\nX-Id: two\r\n\r\n")
+			  .end);
+	EXPECT_EQ(BB_EXECUTION_FOREIGN,
+		  execute("HTTP/1.1 103 Early Hints\r\nX-Id: two\r\n\r\n" +
+			  kOk + "Content-Length: 0\r\n\r\n")
+			  .end);
 }
 
 // Guards against bytes of nobody, which look like an answer but have no request
@@ -335,8 +344,8 @@
 // while it was idle, and that takes them for its answer.
 TEST(Executor, IdleConnectionThatGotBytesIsNotUsed)
 {
-	// Requests without an id, as to a configuration service, would take
-	// the bytes for their answer.
+	// Requests without an id, as to a registry, would take the bytes for
+	// their answer.
 	for (std::string id : { "two", "" }) {
 		std::atomic<bool> sent{ false };
 		KeepingServer s([&](int fd, int connection, int) {
