Loops: count rounds without a wait, by thread and source

Cause: nothing tells a node's thread that goes on without waiting from one that has work.

Change: the control, traffic and accept loops count their rounds, with and without a wait, and what they handled. event=busy_thread names thread and source of a thread that hardly waited for a second; loop_rounds_total and loop_busy_seconds_total are its metrics.

No behaviour of the node changes.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/rounds.h"
 
 /**
  * struct metric_description - how a metric is printed.
@@ -86,6 +87,8 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
+	{ "spin_waits_total", "counter",
+	  "Waits of 1 ms or more for another thread that used a core." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
@@ -184,6 +187,33 @@
 			       name, count);
 }
 
+static void append_rounds(GString *s)
+{
+	g_string_append(s, "# HELP baobabward_loop_rounds_total Rounds of a "
+			   "thread's loop, by whether it waited for events.\n"
+			   "# TYPE baobabward_loop_rounds_total counter\n");
+	for (int i = 0; i < BB_THREAD_COUNT; i++)
+		for (int waited = 0; waited < 2; waited++)
+			g_string_append_printf(
+				s,
+				"baobabward_loop_rounds_total{thread=\"%s\","
+				"waited=\"%s\"} %" G_GUINT64_FORMAT "\n",
+				bb_thread_string[i], waited ? "yes" : "no",
+				bb_rounds_total((enum bb_thread)i, waited));
+	g_string_append(s,
+			"# HELP baobabward_loop_busy_seconds_total "
+			"Time for which a thread went on without waiting.\n"
+			"# TYPE baobabward_loop_busy_seconds_total counter\n");
+	for (int i = 0; i < BB_THREAD_COUNT; i++)
+		g_string_append_printf(
+			s,
+			"baobabward_loop_busy_seconds_total{thread=\"%s\"} "
+			"%.6f\n",
+			bb_thread_string[i],
+			(double)bb_rounds_busy_us((enum bb_thread)i) /
+				BB_US_PER_S);
+}
+
 char *bb_metrics_text(void)
 {
 	GString *s = g_string_new(NULL);
@@ -211,5 +241,6 @@
 			bb_metrics_refusal_count((enum bb_reason)i));
 	for (int h = 0; h < BB_HISTOGRAM_COUNT; h++)
 		append_histogram(s, (enum bb_histogram)h);
+	append_rounds(s);
 	return g_string_free(s, FALSE);
 }
--- a/src/liblimit/drawer_private.h
+++ b/src/liblimit/drawer_private.h
@@ -11,6 +11,7 @@
 
 #include "baobabward/clock.h"
 #include "baobabward/limit.h"
+#include "baobabward/rounds.h"
 
 #if defined(__has_feature)
 #if __has_feature(thread_sanitizer)
@@ -170,7 +171,13 @@
 
 static inline void lock_shard(struct shard *s)
 {
-	ck_spinlock_lock(&s->lock);
+	int64_t began_us;
+
+	if (!ck_spinlock_trylock(&s->lock)) {
+		began_us = bb_clock_now_us();
+		ck_spinlock_lock(&s->lock);
+		bb_rounds_spun("drawer_shard", began_us);
+	}
 #ifdef BB_TSAN
 	__tsan_acquire(&s->lock);
 #endif
--- a/src/libnode/endpoint.c
+++ b/src/libnode/endpoint.c
@@ -1,6 +1,7 @@
 #include "libnode/endpoint.h"
 
 #include "baobabward/config.h"
+#include "baobabward/rounds.h"
 
 /* Messages handled in one dispatch, so that other sources do not starve. */
 #define DISPATCH_MAX_MESSAGES 64
@@ -52,6 +53,7 @@
 
 	(void)callback;
 	(void)data;
+	bb_rounds_note("endpoint.c:dispatch");
 	for (int i = 0; i < DISPATCH_MAX_MESSAGES && receive_pending(source);
 	     i++) {
 		struct bb_received_message *r = p->pending;
--- a/src/libnode/listener.c
+++ b/src/libnode/listener.c
@@ -9,6 +9,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "baobabward/rounds.h"
 #include "libnode/address.h"
 
 /* Pause before the next attempt when no connection can be accepted. */
@@ -56,13 +57,16 @@
 	struct bb_listener *l = data;
 	bool paused = false;
 
+	bb_rounds_begin(BB_THREAD_ACCEPT);
 	for (;;) {
 		struct pollfd p[] = { { .fd = l->stop_fd, .events = POLLIN },
 				      { .fd = l->fd, .events = POLLIN } };
 
-		poll(p, paused ? 1 : 2, paused ? ACCEPT_RETRY_MS : -1);
+		bb_rounds_poll(p, paused ? 1 : 2,
+			       paused ? ACCEPT_RETRY_MS : -1);
 		if (p[0].revents)
 			return NULL;
+		bb_rounds_note("listener.c:accept");
 		/*
 		 * Without free descriptors the socket stays readable, so pause
 		 * then, too, instead of spinning.
--- a/src/libnode/loop.h
+++ b/src/libnode/loop.h
@@ -5,6 +5,16 @@
 #include <glib-unix.h>
 #include <glib.h>
 
+/**
+ * bb_loop_new() - create the main context of a thread.
+ *
+ * The loop that runs it counts its rounds if its thread has called
+ * bb_rounds_begin().
+ *
+ * Return: context that the caller unreferences.
+ */
+GMainContext *bb_loop_new(void);
+
 /**
  * bb_loop_add_fd() - watch a file descriptor.
  * @context: main context of the thread
@@ -15,8 +25,9 @@
  *
  * Return: source to give to bb_loop_remove().
  */
-GSource *bb_loop_add_fd(GMainContext *context, int fd, GIOCondition condition,
-			GUnixFDSourceFunc fn, void *data);
+#define bb_loop_add_fd(context, fd, condition, fn, data)       \
+	bb_loop_add_named_fd(context, fd, condition, fn, data, \
+			     __FILE_NAME__ ":" #fn)
 
 /**
  * bb_loop_add_timeout() - call a function after some time.
@@ -28,8 +39,9 @@
  *
  * Return: source to give to bb_loop_remove().
  */
-GSource *bb_loop_add_timeout(GMainContext *context, gint64 delay_us,
-			     GSourceFunc fn, void *data);
+#define bb_loop_add_timeout(context, delay_us, fn, data)       \
+	bb_loop_add_named_timeout(context, delay_us, fn, data, \
+				  __FILE_NAME__ ":" #fn)
 
 /**
  * bb_loop_remove() - remove and free a source.
@@ -37,4 +49,12 @@
  */
 void bb_loop_remove(GSource **source);
 
+/* The functions behind the macros above; @name is a string that stays valid. */
+GSource *bb_loop_add_named_fd(GMainContext *context, int fd,
+			      GIOCondition condition, GUnixFDSourceFunc fn,
+			      void *data, const char *name);
+GSource *bb_loop_add_named_timeout(GMainContext *context, gint64 delay_us,
+				   GSourceFunc fn, void *data,
+				   const char *name);
+
 #endif
--- a/src/libnode/mailbox.c
+++ b/src/libnode/mailbox.c
@@ -8,6 +8,8 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "baobabward/clock.h"
+#include "baobabward/rounds.h"
 #include "libnode/loop.h"
 
 /* The ring has many producers and one consumer, the receiving thread. */
@@ -38,10 +40,12 @@
 
 bool bb_mailbox_push(struct bb_mailbox *m, void *entry)
 {
+	int64_t began_us = bb_clock_now_us();
 	uint64_t one = 1;
 
 	if (!ck_ring_enqueue_mpsc(&m->ring, m->buffer, entry))
 		return false;
+	bb_rounds_spun("mailbox", began_us);
 	/* EAGAIN means that the counter is full, so a wake-up is pending. */
 	while (write(m->event_fd, &one, sizeof(one)) < 0 && errno == EINTR)
 		;
--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -17,6 +17,7 @@
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
 #include "baobabward/metrics.h"
+#include "baobabward/rounds.h"
 #include "baobabward/trace.h"
 #include "libnode/admin.h"
 #include "libnode/control.h"
@@ -218,7 +219,7 @@
 	n->settings = settings;
 	n->snapshots = bb_snapshots_new(settings->host);
 	n->history = bb_request_history_new(HISTORY_SIZE);
-	n->context = g_main_context_new();
+	n->context = bb_loop_new();
 	n->loop = g_main_loop_new(n->context, FALSE);
 	return n;
 }
@@ -586,6 +587,7 @@
 	add_signal(n, 0, SIGTERM, on_signal);
 	add_signal(n, 1, SIGINT, on_signal);
 	add_signal(n, 2, SIGHUP, on_hangup);
+	bb_rounds_begin(BB_THREAD_CONTROL);
 	g_main_loop_run(n->loop);
 	if (n->failed)
 		bb_log(BB_LOG_MAIN, G_LOG_LEVEL_CRITICAL, NULL,
--- a/src/libnode/snapshot.c
+++ b/src/libnode/snapshot.c
@@ -5,6 +5,9 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "baobabward/clock.h"
+#include "baobabward/rounds.h"
+
 /* Publication point. */
 struct bb_snapshots {
 	char *host;
@@ -72,6 +75,7 @@
 {
 	struct bb_snapshot *old = s->current;
 	struct bb_snapshot *next;
+	int64_t began_us;
 
 	if (old && !is_newer(config, old->config)) {
 		bb_config_delete(config);
@@ -82,7 +86,9 @@
 	next->self = bb_config_find_host(config, s->host, strlen(s->host));
 	next->refs = 1;
 	g_atomic_pointer_set(&s->current, next);
+	began_us = bb_clock_now_us();
 	ck_epoch_synchronize(thread_record());
+	bb_rounds_spun("snapshot", began_us);
 	bb_snapshot_put(old);
 	return true;
 }
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -7,6 +7,7 @@
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
 #include "baobabward/metrics.h"
+#include "baobabward/rounds.h"
 #include "libnode/adjacent.h"
 #include "libnode/entry.h"
 #include "libnode/endpoint.h"
@@ -328,6 +329,7 @@
 	struct bb_traffic *t = data;
 
 	g_main_context_push_thread_default(t->context);
+	bb_rounds_begin(BB_THREAD_TRAFFIC);
 	g_main_loop_run(t->loop);
 	g_main_context_pop_thread_default(t->context);
 	return NULL;
@@ -427,7 +429,7 @@
 	struct bb_traffic *t = g_new0(struct bb_traffic, 1);
 
 	t->o = *o;
-	t->context = g_main_context_new();
+	t->context = bb_loop_new();
 	t->loop = g_main_loop_new(t->context, FALSE);
 	t->hello_senders = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	if (create_components(t, err)) {
