--- a/src/libnode/mailbox.c
+++ b/src/libnode/mailbox.c
@@ -1,6 +1,5 @@
 #include "libnode/mailbox.h"
 
-#include <ck_ring.h>
 #include <errno.h>
 #include <glib-unix.h>
 #include <stdint.h>
@@ -8,14 +7,11 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include "baobabward/clock.h"
-#include "baobabward/rounds.h"
+#include "libcore/ring.h"
 #include "libnode/loop.h"
 
-/* The ring has many producers and one consumer, the receiving thread. */
 struct bb_mailbox {
-	ck_ring_t ring;
-	ck_ring_buffer_t *buffer;
+	struct bb_ring *ring;
 	int event_fd;
 	GSource *source;
 	void (*receive)(void *data, void *entry);
@@ -33,19 +29,16 @@
 		g_free(m);
 		return NULL;
 	}
-	m->buffer = g_new0(ck_ring_buffer_t, capacity);
-	ck_ring_init(&m->ring, capacity);
+	m->ring = bb_ring_new(capacity);
 	return m;
 }
 
 bool bb_mailbox_push(struct bb_mailbox *m, void *entry)
 {
-	int64_t began_us = bb_clock_now_us();
 	uint64_t one = 1;
 
-	if (!ck_ring_enqueue_mpsc(&m->ring, m->buffer, entry))
+	if (!bb_ring_push(m->ring, entry))
 		return false;
-	bb_rounds_spun("mailbox", began_us);
 	/* EAGAIN means that the counter is full, so a wake-up is pending. */
 	while (write(m->event_fd, &one, sizeof(one)) < 0 && errno == EINTR)
 		;
@@ -56,7 +49,7 @@
 {
 	void *entry;
 
-	while (ck_ring_dequeue_mpsc(&m->ring, m->buffer, &entry))
+	while (bb_ring_pop(m->ring, &entry))
 		m->receive(m->data, entry);
 }
 
@@ -85,7 +78,7 @@
 {
 	void *entry;
 
-	while (ck_ring_dequeue_mpsc(&m->ring, m->buffer, &entry))
+	while (bb_ring_pop(m->ring, &entry))
 		release(NULL, entry);
 }
 
@@ -95,6 +88,6 @@
 		return;
 	bb_loop_remove(&m->source);
 	close(m->event_fd);
-	g_free(m->buffer);
+	bb_ring_delete(m->ring);
 	g_free(m);
 }
--- a/src/libtrace/tracer.c
+++ b/src/libtrace/tracer.c
@@ -12,7 +12,7 @@
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
 #include "baobabward/metrics.h"
-#include "libtrace/ring.h"
+#include "libcore/ring.h"
 #include "libtrace/span.h"
 
 /*
@@ -34,7 +34,6 @@
  * @url: OTLP/HTTP endpoint
  * @host: name of this host
  * @ring: queue of ended spans
- * @buffer: entries of @ring
  * @thread: exporter thread
  * @mutex: protects @stopping and @stop_us
  * @wake: signalled when @stopping is set
@@ -53,8 +52,7 @@
 	struct bb_tracer_options o;
 	char *url;
 	char *host;
-	ck_ring_t ring;
-	ck_ring_buffer_t *buffer;
+	struct bb_ring *ring;
 	pthread_t thread;
 	pthread_mutex_t mutex;
 	pthread_cond_t wake;
@@ -139,14 +137,14 @@
 static bool fill_body(struct bb_tracer *t)
 {
 	struct bb_span **spans;
+	void *entry;
 	size_t nr = 0;
 
 	if (t->body)
 		return true;
 	spans = g_new(struct bb_span *, t->o.batch_max);
-	while (nr < t->o.batch_max &&
-	       bb_ring_pop(&t->ring, t->buffer, &spans[nr]))
-		nr++;
+	while (nr < t->o.batch_max && bb_ring_pop(t->ring, &entry))
+		spans[nr++] = entry;
 	if (nr) {
 		t->body = bb_otlp_json(t->host, spans, nr,
 				       bb_clock_wall_us() - bb_clock_now_us());
@@ -284,7 +282,7 @@
 	curl_slist_free_all(t->headers);
 	pthread_cond_destroy(&t->wake);
 	pthread_mutex_destroy(&t->mutex);
-	g_free(t->buffer);
+	bb_ring_delete(t->ring);
 	g_free(t->url);
 	g_free(t->host);
 	g_free(t);
@@ -300,8 +298,7 @@
 	set_defaults(&t->o);
 	t->url = g_strdup(o->url);
 	t->host = g_strdup(o->host);
-	t->buffer = g_new0(ck_ring_buffer_t, t->o.capacity);
-	ck_ring_init(&t->ring, t->o.capacity);
+	t->ring = bb_ring_new(t->o.capacity);
 	pthread_mutex_init(&t->mutex, NULL);
 	pthread_condattr_init(&attributes);
 	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
@@ -389,7 +386,7 @@
 	s->reason = reason;
 	s->status = status;
 	s->end_us = end_us;
-	if (bb_ring_push(&t->ring, t->buffer, s))
+	if (bb_ring_push(t->ring, s))
 		return;
 	count_lost(1);
 	g_free(s);
--- a/src/test_lib/test_drawer.cc
+++ b/src/test_lib/test_drawer.cc
@@ -5,6 +5,7 @@
 #include "baobabward/clock.h"
 #include "baobabward/lease.h"
 #include "baobabward/limit.h"
+#include "held_up.h"
 #include "lease_fixture.h"
 
 static const int64_t SECOND_US = BB_US_PER_S;
@@ -189,3 +190,36 @@
 	f.run(SECOND_US / 10);
 	EXPECT_EQ(f.extra_tokens, f.returned);
 }
+
+// Guards against a thread that uses a core while it admits a request and the
+// control thread is held up among the accounts, here where it looks for holders.
+TEST(Drawer, SpendDoesNotSpinWhileTheControlThreadIsHeldUp)
+{
+	struct HeldUp : Drawer {
+		std::atomic<bool> inside{ false };
+	} f;
+	struct bb_drawer_options o = {};
+	double before_ms, spent_ms;
+	struct bb_drawer *d;
+
+	o.self = "host0";
+	o.data = &f;
+	o.alive = [](void *data, uint32_t, int64_t) {
+		((HeldUp *)data)->inside = true;
+		usleep(100000);
+		return false;
+	};
+	o.send = [](void *, uint32_t, const struct bb_message *) {};
+	d = bb_drawer_new(&o);
+	bb_drawer_set_config(d, &f.config, f.map, f.now);
+	bb_drawer_spend(d, "a", false, f.now, NULL);
+	std::thread control([&] { bb_drawer_tick(d, f.now); });
+	while (!f.inside)
+		usleep(1000);
+	before_ms = held_up::thread_cpu_ms();
+	bb_drawer_spend(d, "a", false, f.now, NULL);
+	spent_ms = held_up::thread_cpu_ms() - before_ms;
+	control.join();
+	EXPECT_LT(spent_ms, held_up::CALL_MAX_MS);
+	bb_drawer_delete(d);
+}
--- /dev/null
+++ b/src/test_lib/test_snapshot.cc
@@ -0,0 +1,44 @@
+// Publication of configurations to the threads that read them.
+#include <gtest/gtest.h>
+#include <string>
+
+#include "config_fixture.h"
+#include "held_up.h"
+
+extern "C" {
+#include "libnode/snapshot.h"
+}
+
+namespace
+{
+struct bb_config *version(uint64_t n)
+{
+	struct bb_config *c = parse(Document().json()).release();
+
+	c->version = n;
+	return c;
+}
+
+// Guards against a control thread that uses a core while a reader is held up
+// with the former snapshot, and against a snapshot that is freed under one.
+TEST(Snapshot, SwapDoesNotSpinWhileAReaderIsHeldUp)
+{
+	struct bb_snapshots *s = bb_snapshots_new("h1");
+	uint64_t reads = 0, n = 1;
+	double longest_ms;
+
+	bb_snapshots_swap(s, version(n++));
+	longest_ms = held_up::longest_call_ms(
+		[&] {
+			struct bb_snapshot *got = bb_snapshots_get(s);
+
+			reads += got->config->version > 0;
+			bb_snapshot_put(got);
+		},
+		[&] { bb_snapshots_swap(s, version(n++)); });
+	EXPECT_LT(longest_ms, held_up::CALL_MAX_MS);
+	EXPECT_GT(n, 1000u);
+	EXPECT_GT(reads, 1000u);
+	bb_snapshots_delete(s);
+}
+} // namespace
