Ring: threads that push take turns under a lock that sleeps

Cause: ck_ring_enqueue_mpsc() waits, with its core, for the producer before it. A thread that loses its core between the two steps of a push makes each other one that pushes use up its own time; on a host with a tenth of a core that is half a second of the node. All mailboxes and the tracer's queue did.

Change: producers hold a mutex during a push to a ring of one producer; the receiving thread still takes no lock.

--- a/src/libcore/ring.c
+++ b/src/libcore/ring.c
@@ -66,12 +66,14 @@
 {
 	bool ok;
 
+	pthread_mutex_lock(&r->producers);
 #ifdef BB_RING_TSAN
 	__tsan_release(r);
 #endif
 	tsan_ignore(true);
-	ok = ck_ring_enqueue_mpsc(&r->ring, r->buffer, entry);
+	ok = ck_ring_enqueue_spsc(&r->ring, r->buffer, entry);
 	tsan_ignore(false);
+	pthread_mutex_unlock(&r->producers);
 	return ok;
 }
 
@@ -80,7 +82,7 @@
 	bool ok;
 
 	tsan_ignore(true);
-	ok = ck_ring_dequeue_mpsc(&r->ring, r->buffer, entry);
+	ok = ck_ring_dequeue_spsc(&r->ring, r->buffer, entry);
 	tsan_ignore(false);
 #ifdef BB_RING_TSAN
 	__tsan_acquire(r);
