Drawer: the lock of a shard sleeps

Cause: admission of a request and the control thread share a spinlock for each shard of accounts.

Change: a mutex in place of the spinlock, which ThreadSanitizer sees by itself.

--- a/src/liblimit/drawer.c
+++ b/src/liblimit/drawer.c
@@ -92,7 +92,7 @@
 	d->batches = g_ptr_array_new_with_free_func(batch_delete);
 	g_queue_init(&d->pending_draws);
 	for (uint32_t i = 0; i < SHARDS; i++) {
-		ck_spinlock_init(&d->shards[i].lock);
+		pthread_mutex_init(&d->shards[i].lock, NULL);
 		d->shards[i].accounts = g_hash_table_new_full(
 			name_hash, g_str_equal, NULL, local_account_delete);
 		d->shards[i].due = g_ptr_array_new();
@@ -105,6 +105,7 @@
 	if (!d)
 		return;
 	for (uint32_t i = 0; i < SHARDS; i++) {
+		pthread_mutex_destroy(&d->shards[i].lock);
 		g_hash_table_destroy(d->shards[i].accounts);
 		g_ptr_array_free(d->shards[i].due, TRUE);
 	}
--- a/src/liblimit/drawer_private.h
+++ b/src/liblimit/drawer_private.h
@@ -6,26 +6,11 @@
 #ifndef BB_LIMIT_DRAWER_PRIVATE_H
 #define BB_LIMIT_DRAWER_PRIVATE_H
 
-#include <ck_spinlock.h>
 #include <glib.h>
+#include <pthread.h>
 
 #include "baobabward/clock.h"
 #include "baobabward/limit.h"
-#include "baobabward/rounds.h"
-
-#if defined(__has_feature)
-#if __has_feature(thread_sanitizer)
-#define BB_TSAN 1
-#endif
-#endif
-#ifdef __SANITIZE_THREAD__
-#define BB_TSAN 1
-#endif
-#ifdef BB_TSAN
-/* The lock is inline assembly, which ThreadSanitizer does not see. */
-void __tsan_acquire(void *lock);
-void __tsan_release(void *lock);
-#endif
 
 /* Shards of the table of accounts, to spread contention for the locks. */
 #define SHARDS 64
@@ -118,7 +103,7 @@
  * @due: accounts for which a draw is due; each is also in @accounts
  */
 struct shard {
-	ck_spinlock_t lock;
+	pthread_mutex_t lock;
 	GHashTable *accounts;
 	GPtrArray *due;
 } __attribute__((aligned(64)));
@@ -169,26 +154,15 @@
 	struct shard shards[SHARDS];
 };
 
+/* The lock sleeps, as a thread may lose its core while it has it. */
 static inline void lock_shard(struct shard *s)
 {
-	int64_t began_us;
-
-	if (!ck_spinlock_trylock(&s->lock)) {
-		began_us = bb_clock_now_us();
-		ck_spinlock_lock(&s->lock);
-		bb_rounds_spun("drawer_shard", began_us);
-	}
-#ifdef BB_TSAN
-	__tsan_acquire(&s->lock);
-#endif
+	pthread_mutex_lock(&s->lock);
 }
 
 static inline void unlock_shard(struct shard *s)
 {
-#ifdef BB_TSAN
-	__tsan_release(&s->lock);
-#endif
-	ck_spinlock_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 }
 
 /* Spending, on any thread. The shard is locked by the caller. */
