--- a/include/baobabward/limit.h
+++ b/include/baobabward/limit.h
@@ -132,8 +132,8 @@
 /*
  * bb_drawer_spend() may be called by any number of threads at any time between
  * bb_drawer_new() and bb_drawer_delete(). All other functions are for one
- * control thread. Accounts are spread over shards, each with a mutex that is
- * held for a few hundred nanoseconds and never across a callback.
+ * control thread. Accounts are spread over shards, each with a mutex; of the
+ * callbacks, only @alive and @stopping are called while it is held.
  */
 struct bb_drawer *bb_drawer_new(const struct bb_drawer_options *o);
 void bb_drawer_delete(struct bb_drawer *d);
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -575,6 +575,7 @@
 	struct bb_control *c = data;
 	int64_t now_us = bb_clock_now_us();
 
+	bb_snapshots_reclaim(c->o.snapshots);
 	trim_memory(c, now_us);
 	bb_member_tick(c->member, now_us);
 	bb_control_check_in_force(c, now_us);
--- a/src/libnode/snapshot.c
+++ b/src/libnode/snapshot.c
@@ -5,16 +5,33 @@
 #include <pthread.h>
 #include <string.h>
 
-#include "baobabward/clock.h"
-#include "baobabward/rounds.h"
-
-/* Publication point. */
+/**
+ * struct bb_snapshots - publication point.
+ * @host: name of this node's host
+ * @current: published snapshot, NULL before the first; atomic
+ * @replaced_nr: number of replaced snapshots that are not released yet
+ */
 struct bb_snapshots {
 	char *host;
-	/* Atomic; NULL before the first snapshot. */
 	struct bb_snapshot *current;
+	unsigned int replaced_nr;
 };
 
+/**
+ * struct replaced - a snapshot that readers may still see.
+ * @entry: links it in the epoch domain; first, so that both have one address
+ * @of: where it was published
+ * @snapshot: the snapshot
+ */
+struct replaced {
+	ck_epoch_entry_t entry;
+	struct bb_snapshots *of;
+	struct bb_snapshot *snapshot;
+};
+
+/* Pause between two looks at snapshots that cannot be released yet. */
+#define RECLAIM_PAUSE_US 1000
+
 /*
  * One epoch domain serves all publication points; each thread has one epoch
  * record. The pointer and the reference count use GLib's atomics, which are
@@ -71,11 +88,36 @@
 	       (c->version == old->version && c->revision > old->revision);
 }
 
+static void release_replaced(ck_epoch_entry_t *entry)
+{
+	struct replaced *r = (struct replaced *)entry;
+
+	r->of->replaced_nr--;
+	bb_snapshot_put(r->snapshot);
+	g_free(r);
+}
+
+static void release_later(struct bb_snapshots *s, struct bb_snapshot *old)
+{
+	struct replaced *r = g_new0(struct replaced, 1);
+
+	r->of = s;
+	r->snapshot = old;
+	s->replaced_nr++;
+	ck_epoch_call(thread_record(), &r->entry, release_replaced);
+}
+
+bool bb_snapshots_reclaim(struct bb_snapshots *s)
+{
+	if (s->replaced_nr)
+		ck_epoch_poll(thread_record());
+	return s->replaced_nr;
+}
+
 bool bb_snapshots_swap(struct bb_snapshots *s, struct bb_config *config)
 {
 	struct bb_snapshot *old = s->current;
 	struct bb_snapshot *next;
-	int64_t began_us;
 
 	if (old && !is_newer(config, old->config)) {
 		bb_config_delete(config);
@@ -86,10 +128,9 @@
 	next->self = bb_config_find_host(config, s->host, strlen(s->host));
 	next->refs = 1;
 	g_atomic_pointer_set(&s->current, next);
-	began_us = bb_clock_now_us();
-	ck_epoch_synchronize(thread_record());
-	bb_rounds_spun("snapshot", began_us);
-	bb_snapshot_put(old);
+	if (old)
+		release_later(s, old);
+	bb_snapshots_reclaim(s);
 	return true;
 }
 
@@ -126,6 +167,8 @@
 {
 	if (!s)
 		return;
+	while (bb_snapshots_reclaim(s))
+		g_usleep(RECLAIM_PAUSE_US);
 	bb_snapshot_put(s->current);
 	g_free(s->host);
 	g_free(s);
--- a/src/libnode/snapshot.h
+++ b/src/libnode/snapshot.h
@@ -5,7 +5,8 @@
  * A reader takes a counted reference inside an epoch section, which is short
  * and takes no lock, and may then keep the snapshot for a whole request. The
  * writer drops its reference only after all sections that could still see the
- * old pointer have ended.
+ * old pointer have ended. It does not wait for them: a reader may have lost its
+ * core in its section. bb_snapshots_reclaim() is called until none is left.
  */
 #ifndef BB_NODE_SNAPSHOT_H
 #define BB_NODE_SNAPSHOT_H
@@ -43,6 +44,15 @@
  */
 bool bb_snapshots_swap(struct bb_snapshots *s, struct bb_config *config);
 
+/**
+ * bb_snapshots_reclaim() - release replaced snapshots that no reader can see any
+ *			    more; the thread of bb_snapshots_swap() only.
+ * @s: publication point
+ *
+ * Return: false when none is left to release.
+ */
+bool bb_snapshots_reclaim(struct bb_snapshots *s);
+
 /**
  * bb_snapshots_get() - take a reference to the published snapshot; any thread.
  *
--- a/src/test_lib/test_snapshot.cc
+++ b/src/test_lib/test_snapshot.cc
@@ -41,4 +41,23 @@
 	EXPECT_GT(reads, 1000u);
 	bb_snapshots_delete(s);
 }
+
+// The memory of replaced configurations is given back without a further change.
+TEST(Snapshot, ReplacedSnapshotsAreReleased)
+{
+	struct bb_snapshots *s = bb_snapshots_new("h1");
+	struct bb_snapshot *kept;
+
+	bb_snapshots_swap(s, version(1));
+	kept = bb_snapshots_get(s);
+	bb_snapshots_swap(s, version(2));
+	bb_snapshots_swap(s, version(3));
+	for (int i = 0; i < 3; i++)
+		bb_snapshots_reclaim(s);
+	EXPECT_FALSE(bb_snapshots_reclaim(s));
+	EXPECT_EQ(1, kept->refs);
+	EXPECT_EQ(1u, kept->config->version);
+	bb_snapshot_put(kept);
+	bb_snapshots_delete(s);
+}
 } // namespace
