Signals: read them from a descriptor, and keep those that come early

Cause: SIGHUP ends a process that has not yet set up its handling of signals. Besides, GLib handles a signal on whatever thread it interrupts, at any point.

Change: SIGTERM, SIGINT and SIGHUP are blocked first of all, in all threads, and the control loop reads them from a signalfd. No handler runs any more.

Evidence: test_signals (a signal before the loop is kept for it, other threads are not interrupted).

--- a/src/baobabd/main.c
+++ b/src/baobabd/main.c
@@ -4,6 +4,7 @@
 
 #include "baobabward/settings.h"
 #include "libnode/daemon.h"
+#include "libnode/signals.h"
 
 int main(int argc, char **argv)
 {
@@ -12,6 +13,7 @@
 	char *help;
 	int rc;
 
+	bb_signals_block();
 	settings = bb_settings_parse(&argc, &argv, &help, &err);
 	if (help) {
 		fputs(help, stdout);
--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -6,7 +6,6 @@
 
 #include <assert.h>
 #include <ck_pr.h>
-#include <glib-unix.h>
 #include <glib.h>
 #include <jansson.h>
 #include <signal.h>
@@ -24,6 +23,7 @@
 #include "libnode/explain.h"
 #include "libnode/front.h"
 #include "libnode/loop.h"
+#include "libnode/signals.h"
 #include "libnode/snapshot.h"
 #include "libnode/traffic.h"
 
@@ -83,7 +83,7 @@
  * @open_timer: checks whether the front can be opened
  * @started_us: time when the traffic thread was started
  * @drain_timer: checks whether the drain is complete
- * @signals: sources of SIGTERM, SIGINT and SIGHUP
+ * @signals: SIGTERM, SIGINT and SIGHUP, while the loop runs
  * @drain_started_us: time when the drain began
  * @start_scheduled: @start_timer was set once
  * @interrupted: the shutdown was cut short
@@ -110,7 +110,7 @@
 	GSource *open_timer;
 	int64_t started_us;
 	GSource *drain_timer;
-	GSource *signals[3];
+	struct bb_signals *signals;
 	int64_t drain_started_us;
 	bool start_scheduled;
 	bool interrupted;
@@ -520,44 +520,36 @@
 		bb_loop_add_timeout(n->context, POLL_US, on_drain_poll, n);
 }
 
-static gboolean on_signal(gpointer data)
+static void stop(struct bb_node *n)
 {
-	struct bb_node *n = data;
-
 	if (state(n) == BB_NODE_NEW) {
 		g_main_loop_quit(n->loop);
-		return G_SOURCE_CONTINUE;
+		return;
 	}
 	if (state(n) == BB_NODE_RUNNING) {
 		drain(n);
-		return G_SOURCE_CONTINUE;
+		return;
 	}
 	bb_log_warning(BB_LOG_MAIN,
 		       "second signal during the shutdown; aborting and "
 		       "answering open requests");
 	n->interrupted = true;
 	g_main_loop_quit(n->loop);
-	return G_SOURCE_CONTINUE;
 }
 
 /*
  * Flags and environment variables are read at the start only. A feed watches
  * its settings file itself.
  */
-static gboolean on_hangup(gpointer data)
+static void on_signal(void *data, int number)
 {
-	(void)data;
+	if (number != SIGHUP) {
+		stop(data);
+		return;
+	}
 	bb_log_info(BB_LOG_MAIN,
 		    "SIGHUP: flags and environment variables are read at the "
 		    "start only; keeping the present values");
-	return G_SOURCE_CONTINUE;
-}
-
-static void add_signal(struct bb_node *n, int i, int number, GSourceFunc fn)
-{
-	n->signals[i] = g_unix_signal_source_new(number);
-	g_source_set_callback(n->signals[i], fn, n, NULL);
-	g_source_attach(n->signals[i], n->context);
 }
 
 /* Maximum time to abort open requests and send their answers to callers. */
@@ -584,11 +576,11 @@
 
 int bb_node_run(struct bb_node *n)
 {
-	add_signal(n, 0, SIGTERM, on_signal);
-	add_signal(n, 1, SIGINT, on_signal);
-	add_signal(n, 2, SIGHUP, on_hangup);
+	n->signals = bb_signals_new(n->context, on_signal, n, &n->error);
+	n->failed = !n->signals;
 	bb_rounds_begin(BB_THREAD_CONTROL);
-	g_main_loop_run(n->loop);
+	if (!n->failed)
+		g_main_loop_run(n->loop);
 	if (n->failed)
 		bb_log(BB_LOG_MAIN, G_LOG_LEVEL_CRITICAL, NULL,
 		       "cannot start the node; exiting: %s", n->error.message);
@@ -610,9 +602,7 @@
 	bb_loop_remove(&n->start_timer);
 	bb_loop_remove(&n->open_timer);
 	bb_loop_remove(&n->drain_timer);
-	bb_loop_remove(&n->signals[0]);
-	bb_loop_remove(&n->signals[1]);
-	bb_loop_remove(&n->signals[2]);
+	bb_signals_delete(n->signals);
 	bb_admin_delete(n->admin);
 	/* The threads of the front use the other modules until they stop. */
 	bb_front_delete(n->front);
