--- a/include/baobabward/rounds.h
+++ b/include/baobabward/rounds.h
@@ -68,15 +68,6 @@
  */
 void bb_rounds_end(bool waited, int64_t now_us);
 
-/**
- * bb_rounds_spun() - count a wait in which the calling thread used its core.
- * @source: what it waited for
- * @began_us: time at which the wait began
- *
- * Any thread may call it. Logs event=spin_wait if the wait took 1 ms or more.
- */
-void bb_rounds_spun(const char *source, int64_t began_us);
-
 /**
  * bb_rounds_total() - number of rounds; safe from any thread.
  * @thread: the loop
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -87,8 +87,6 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
-	{ "spin_waits_total", "counter",
-	  "Waits of 1 ms or more for another thread that used a core." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libcore/rounds.c
+++ b/src/libcore/rounds.c
@@ -8,7 +8,6 @@
 
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
-#include "baobabward/metrics.h"
 
 /* Time over which rounds are counted before they are judged. */
 #define WINDOW_US (1 * BB_US_PER_S)
@@ -23,8 +22,6 @@
 #define SOURCES_MAX 16
 /* A poll that takes less time did not wait: a descriptor was ready. */
 #define WAIT_MIN_US 100
-/* Shortest wait for another thread that is logged if it uses a core. */
-#define SPIN_LOGGED_US (1 * BB_US_PER_MS)
 
 const char *const bb_thread_string[] = { "control", "traffic", "accept" };
 
@@ -170,19 +167,6 @@
 	return rc;
 }
 
-void bb_rounds_spun(const char *source, int64_t began_us)
-{
-	int64_t us = bb_clock_now_us() - began_us;
-
-	if (us < SPIN_LOGGED_US)
-		return;
-	bb_metrics_add(BB_METRIC_SPIN_WAITS, 1);
-	bb_log_event(BB_LOG_MAIN, G_LOG_LEVEL_WARNING, NULL, "spin_wait",
-		     "thread=%s source=%s us=%" G_GINT64_FORMAT,
-		     own ? bb_thread_string[own - threads] : "other", source,
-		     us);
-}
-
 uint64_t bb_rounds_total(enum bb_thread thread, bool waited)
 {
 	const struct rounds *r = &threads[thread];
