--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -6,6 +6,7 @@
 
 #include "baobabward/clock.h"
 #include "baobabward/rounds.h"
+#include "libcore/thread_times.h"
 
 /**
  * struct metric_description - how a metric is printed.
@@ -240,5 +241,6 @@
 	for (int h = 0; h < BB_HISTOGRAM_COUNT; h++)
 		append_histogram(s, (enum bb_histogram)h);
 	append_rounds(s);
+	bb_thread_times_print(s);
 	return g_string_free(s, FALSE);
 }
--- a/src/libcore/rounds.c
+++ b/src/libcore/rounds.c
@@ -4,6 +4,7 @@
 #include <ck_pr.h>
 #include <errno.h>
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "baobabward/clock.h"
@@ -72,6 +73,9 @@
 
 void bb_rounds_begin(enum bb_thread thread)
 {
+	/* The main thread bears the name of the process. */
+	if (thread != BB_THREAD_CONTROL)
+		pthread_setname_np(pthread_self(), bb_thread_string[thread]);
 	own = &threads[thread];
 	own->busy_windows = 0;
 	begin_window(own, 0);
--- a/src/test_lib/test_rounds.cc
+++ b/src/test_lib/test_rounds.cc
@@ -4,6 +4,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <algorithm>
+#include <atomic>
 #include <cstring>
 #include <string>
 #include <thread>
@@ -143,6 +144,29 @@
 	g_free(text);
 }
 
+// Guards against a busy thread of a library that no metric names.
+TEST_F(Rounds, ProcessorTimeIsTheThreadsOwn)
+{
+	std::atomic<bool> stop{ false };
+	std::thread busy_thread([&] {
+		pthread_setname_np(pthread_self(), "busy (lib)");
+		while (!stop)
+			;
+	});
+	const char *line, *name = "baobabward_thread_cpu_seconds_total"
+				  "{thread=\"busy__lib_\"} ";
+	char *text;
+
+	usleep(500000);
+	text = bb_metrics_text();
+	stop = true;
+	busy_thread.join();
+	line = strstr(text, name);
+	ASSERT_NE(nullptr, line);
+	EXPECT_GT(strtod(line + strlen(name), NULL), 0.1);
+	g_free(text);
+}
+
 // A thread that is not one of the loops, such as one of a library, is not
 // mixed up with them.
 TEST_F(Rounds, OtherThreadsCountNothing)
