--- a/src/test_lib/test_snapshot.cc
+++ b/src/test_lib/test_snapshot.cc
@@ -1,6 +1,7 @@
 // Publication of configurations to the threads that read them.
 #include <gtest/gtest.h>
 #include <string>
+#include <vector>
 
 #include "config_fixture.h"
 #include "held_up.h"
@@ -24,10 +25,15 @@
 TEST(Snapshot, SwapDoesNotSpinWhileAReaderIsHeldUp)
 {
 	struct bb_snapshots *s = bb_snapshots_new("h1");
-	uint64_t reads = 0, n = 1;
+	std::vector<struct bb_config *> next;
+	uint64_t reads = 0;
 	double longest_ms;
+	size_t used = 0;
 
-	bb_snapshots_swap(s, version(n++));
+	// Made before, since their making is no wait.
+	for (uint64_t n = 1; n <= 4000; n++)
+		next.push_back(version(n));
+	bb_snapshots_swap(s, next[used++]);
 	longest_ms = held_up::longest_wait_ms(
 		[&] {
 			struct bb_snapshot *got = bb_snapshots_get(s);
@@ -35,10 +41,16 @@
 			reads += got->config->version > 0;
 			bb_snapshot_put(got);
 		},
-		[&] { bb_snapshots_swap(s, version(n++)); });
+		[&] {
+			usleep(200);
+			if (used < next.size())
+				bb_snapshots_swap(s, next[used++]);
+		});
 	EXPECT_LT(longest_ms, held_up::WAIT_MAX_MS);
-	EXPECT_GT(n, 1000u);
+	EXPECT_GT(used, 1000u);
 	EXPECT_GT(reads, 1000u);
+	for (size_t i = used; i < next.size(); i++)
+		bb_config_delete(next[i]);
 	bb_snapshots_delete(s);
 }
 
