--- a/review/rig-2/case_8.c
+++ b/review/rig-2/case_8.c
@@ -22,6 +22,7 @@
 #define WORK_MS 270
 #define CLIENTS 6
 #define CLOCK_STEP_MS 2000
+#define CLOCK_STEP_FOR_MS 6000
 #define SLOTS 4
 
 #define HOST "peach.example"
@@ -205,7 +206,12 @@
 		born_ms = wall_ms() - CLOCK_STEP_MS;
 		rig_register(ID, nodes[2], "ready", SLOTS, born_ms);
 	}
-	rig_sleep_ms(10000);
+	rig_sleep_ms(CLOCK_STEP_FOR_MS);
+	if (rig_trouble())
+		rig_record("the time of day of %s is right again",
+			   nodes[2]->ip);
+	/* All machines are in touch again after ContactMs, which is 3 s. */
+	rig_sleep_ms(4000);
 	rig_record("%s begins to leave", b->id);
 	rig_register(ID, nodes[2], "draining", SLOTS, born_ms);
 	__atomic_store_n(&b->drain_acked_ms, rig_ms(), __ATOMIC_SEQ_CST);
