review: case 9, a cut watch keeps removed backend servers in use beyond DrainMs

One failed read of the store counts as an outage, after which entries that are found missing stay for 2.2 s.

--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -529,6 +529,7 @@
 	size_t items_nr;
 	char *events[EVENTS_MAX];
 	long revision;
+	unsigned int cuts;
 	char ip[32];
 } store = { .lock = PTHREAD_MUTEX_INITIALIZER, .revision = 100 };
 
@@ -642,9 +643,11 @@
 	pthread_mutex_unlock(&store.lock);
 }
 
-static void watch_items(struct rig_text *body, long after, long wait_ms)
+/* Return: false if the watch was cut while it waited. */
+static bool watch_items(struct rig_text *body, long after, long wait_ms)
 {
 	struct timespec until;
+	unsigned int cuts;
 
 	wait_ms = wait_ms > WATCH_MAX_MS ? WATCH_MAX_MS : wait_ms;
 	clock_gettime(CLOCK_MONOTONIC, &until);
@@ -655,15 +658,30 @@
 		until.tv_nsec -= 1000000000;
 	}
 	pthread_mutex_lock(&store.lock);
-	while (store.revision <= after &&
+	cuts = store.cuts;
+	while (store.revision <= after && store.cuts == cuts &&
 	       !pthread_cond_timedwait(&store.changed, &store.lock, &until))
 		;
+	if (store.cuts != cuts) {
+		pthread_mutex_unlock(&store.lock);
+		return false;
+	}
 	rig_text_printf(body, "{\"events\":[");
 	for (long r = after + 1; r <= store.revision; r++)
 		rig_text_printf(body, "%s%s", r > after + 1 ? "," : "",
 				store.events[r % EVENTS_MAX]);
 	rig_text_printf(body, "],\"At\":%ld}", store.revision);
 	pthread_mutex_unlock(&store.lock);
+	return true;
+}
+
+void rig_store_cut_watches(void)
+{
+	pthread_mutex_lock(&store.lock);
+	store.cuts++;
+	pthread_cond_broadcast(&store.changed);
+	pthread_mutex_unlock(&store.lock);
+	rig_record("store cuts the watches that wait");
 }
 
 static void serve_store(void *data, int fd)
@@ -675,14 +693,19 @@
 	s->fd = fd;
 	while (!rig_read_request(s, &m)) {
 		struct rig_text body = { 0 }, head = { 0 };
+		bool cut = false;
 		char path[512];
 
 		rig_word(&m, path, sizeof(path));
 		if (!strncmp(path, "/v1/kv-watch", 12))
-			watch_items(&body, parameter(path, "after="),
-				    parameter(path, "WaitMs="));
+			cut = !watch_items(&body, parameter(path, "after="),
+					   parameter(path, "WaitMs="));
 		else
 			list_items(&body);
+		if (cut) {
+			rig_message_free(&m);
+			break;
+		}
 		rig_text_printf(&head,
 				"HTTP/1.1 200 OK\r\n"
 				"Content-Type: application/json\r\n"
--- a/review/rig-2/rig2.h
+++ b/review/rig-2/rig2.h
@@ -106,6 +106,8 @@
 void rig_store_start(void);
 void rig_store_put(const char *key, const char *value);
 void rig_store_remove(const char *key);
+/* Closes the connections of the watches that wait, without an answer. */
+void rig_store_cut_watches(void);
 
 /**
  * struct rig_node - a machine: its address and the process of the system.
