--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -115,14 +116,27 @@
 	va_end(ap);
 }
 
+static void remove_file(const struct rig_node *n, const char *suffix)
+{
+	char path[512];
+
+	snprintf(path, sizeof(path), "%s/%s.%s", rig.folder, n->ip, suffix);
+	unlink(path);
+}
+
 static void end_processes(void)
 {
 	for (size_t i = 0; i < rig.nodes_nr; i++) {
-		if (rig.nodes[i].pid <= 0)
-			continue;
-		kill(rig.nodes[i].pid, SIGKILL);
-		waitpid(rig.nodes[i].pid, NULL, 0);
+		const struct rig_node *n = &rig.nodes[i];
+
+		if (n->pid > 0) {
+			kill(n->pid, SIGKILL);
+			waitpid(n->pid, NULL, 0);
+		}
+		remove_file(n, "json");
+		remove_file(n, "log");
 	}
+	rmdir(rig.folder);
 }
 
 void rig_cannot_run(const char *format, ...)
@@ -841,6 +855,9 @@
 	snprintf(log, sizeof(log), "%s/%s.log", rig.folder, n->ip);
 	write_settings(n, settings);
 	n->pid = fork();
+	/* The process ends with the case, also if that is killed. */
+	if (!n->pid)
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 	if (n->pid) {
 		free(command);
 		free(home);
