Executor: log closed idle connections and requests sent again

The logs could not tell who ended the connection, nor whether the node took it for idle. New are event=idle_connection_closed (reason, port, number of requests that used the connection, age), event=resent and requests_resent_total, and body_end and bytes in event=executed.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -78,6 +78,9 @@
 	  "request." },
 	{ "unsolicited_answers_total", "counter",
 	  "Idle connections closed because bytes arrived on them." },
+	{ "requests_resent_total", "counter",
+	  "Idempotent requests sent again on a new connection because a kept "
+	  "one had been closed." },
 	{ "registry_lists_total", "counter",
 	  "Complete lists read from the registry of backend servers." },
 	{ "registry_reads_total", "counter",
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -348,11 +348,12 @@
 		BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name, "executed",
 		"backend=%s end=%s status=%u queued_ms=%" G_GINT64_FORMAT
 		" took_ms=%" G_GINT64_FORMAT
-		" new_connection=%d port=%u running=%u waiting=%u slots=%u"
-		" limit=%g",
+		" new_connection=%d port=%u body_end=%s bytes=%zu running=%u"
+		" waiting=%u slots=%u limit=%g",
 		job->backend->name, bb_execution_end_string[r->end], r->status,
 		(job->started_us - job->queue_entry.pushed_us) / BB_US_PER_MS,
 		r->latency_us / BB_US_PER_MS, r->new_connection, r->local_port,
+		bb_body_end_string[r->body_end], r->body.size,
 		bb_queue_running(q), bb_queue_waiting(q),
 		bb_queue_load(q, bb_clock_now_us()).slots,
 		r->notice.limit == BB_LIMIT_NAMED ? r->notice.limit_per_s :
--- a/src/libnode/connections.c
+++ b/src/libnode/connections.c
@@ -1,13 +1,22 @@
 #include "libnode/connections.h"
 
+#include <assert.h>
 #include <glib.h>
 
+const char *const bb_connection_fault_string[] = { "silent", "unsolicited" };
+
+static_assert(sizeof(bb_connection_fault_string) /
+			      sizeof(*bb_connection_fault_string) ==
+		      BB_CONNECTION_FAULT_COUNT,
+	      "bb_connection_fault_string needs one string per fault");
+
 /**
  * struct connection - an open connection.
  * @origin: backend server that it leads to
  * @opened_us: time of its opening
  * @answered_us: time of the last answer on it, INT64_MIN for none
  * @user: request that uses it, NULL if it is idle
+ * @requests_nr: number of requests that used it
  * @closing: the owner was told to close it
  */
 struct connection {
@@ -15,6 +24,7 @@
 	int64_t opened_us;
 	int64_t answered_us;
 	const void *user;
+	unsigned int requests_nr;
 	bool closing;
 };
 
@@ -42,7 +52,7 @@
  * @origins: struct origin by URL
  */
 struct bb_connections {
-	void (*close)(void *data, int fd);
+	bb_connection_close *close;
 	void *data;
 	GHashTable *by_fd;
 	GHashTable *origins;
@@ -56,7 +66,7 @@
 	g_free(o);
 }
 
-struct bb_connections *bb_connections_new(void (*close)(void *data, int fd),
+struct bb_connections *bb_connections_new(bb_connection_close *close,
 					  void *data)
 {
 	struct bb_connections *c = g_new0(struct bb_connections, 1);
@@ -130,6 +140,7 @@
 	if (!n)
 		return INT64_MAX;
 	n->user = user;
+	n->requests_nr++;
 	return n->opened_us;
 }
 
@@ -141,10 +152,19 @@
 		n->user = NULL;
 }
 
-static void close_idle(struct bb_connections *c, int fd, struct connection *n)
+static void close_idle(struct bb_connections *c, int fd, struct connection *n,
+		       enum bb_connection_fault fault)
 {
+	const struct bb_idle_connection idle = {
+		.fd = fd,
+		.fault = fault,
+		.origin = n->origin->url,
+		.opened_us = n->opened_us,
+		.requests_nr = n->requests_nr,
+	};
+
 	n->closing = true;
-	c->close(c->data, fd);
+	c->close(c->data, &idle);
 }
 
 /*
@@ -165,7 +185,7 @@
 		if (n->origin != o || n->user || n->closing ||
 		    n->opened_us >= began_us || n->answered_us >= began_us)
 			continue;
-		close_idle(c, GPOINTER_TO_INT(fd), n);
+		close_idle(c, GPOINTER_TO_INT(fd), n, BB_CONNECTION_SILENT);
 		nr++;
 	}
 	return nr;
@@ -189,7 +209,8 @@
 		if (n->origin != o || n->user || n->closing ||
 		    !has_bytes(GPOINTER_TO_INT(fd)))
 			continue;
-		close_idle(c, GPOINTER_TO_INT(fd), n);
+		close_idle(c, GPOINTER_TO_INT(fd), n,
+			   BB_CONNECTION_UNSOLICITED);
 		nr++;
 	}
 	return nr;
--- a/src/libnode/connections.h
+++ b/src/libnode/connections.h
@@ -20,13 +20,48 @@
 
 struct bb_connections;
 
+/**
+ * enum bb_connection_fault - why an idle connection must not be used again.
+ * @BB_CONNECTION_SILENT: it gets no answers any more
+ * @BB_CONNECTION_UNSOLICITED: bytes arrived on it while it was idle
+ */
+enum bb_connection_fault {
+	BB_CONNECTION_SILENT,
+	BB_CONNECTION_UNSOLICITED,
+	BB_CONNECTION_FAULT_COUNT
+};
+
+extern const char *const bb_connection_fault_string[];
+
+/**
+ * struct bb_idle_connection - an idle connection that is to be closed.
+ * @fd: its socket
+ * @fault: reason
+ * @origin: URL of the backend server
+ * @opened_us: time of its opening
+ * @requests_nr: number of requests that used it
+ */
+struct bb_idle_connection {
+	int fd;
+	enum bb_connection_fault fault;
+	const char *origin;
+	int64_t opened_us;
+	unsigned int requests_nr;
+};
+
+/**
+ * bb_connection_close() - closes an idle connection; the owner of the socket
+ * calls bb_connections_closed() when that is done.
+ */
+typedef void bb_connection_close(void *data,
+				 const struct bb_idle_connection *n);
+
 /**
  * bb_connections_new() - create an empty set of connections.
- * @close: closes an idle connection; the owner calls bb_connections_closed()
- *         when that is done
+ * @close: closes an idle connection
  * @data: passed to @close
  */
-struct bb_connections *bb_connections_new(void (*close)(void *data, int fd),
+struct bb_connections *bb_connections_new(bb_connection_close *close,
 					  void *data);
 
 /**
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -26,6 +26,12 @@
 		      BB_EXECUTION_END_COUNT,
 	      "bb_execution_end_string needs one string per bb_execution_end");
 
+const char *const bb_body_end_string[] = { "length", "framed", "close" };
+
+static_assert(sizeof(bb_body_end_string) / sizeof(*bb_body_end_string) ==
+		      BB_BODY_END_COUNT,
+	      "bb_body_end_string needs one string per bb_body_end");
+
 /* Limit on a response head, with interim responses and trailers: several times
  * what callers may send. */
 #define RESPONSE_HEAD_MAX_BYTES ((size_t)64 * 1024)
@@ -220,6 +226,13 @@
 	return nr;
 }
 
+static enum bb_body_end body_end(const struct bb_execution *x)
+{
+	if (x->has_content_length)
+		return BB_BODY_END_LENGTH;
+	return x->body_length_known ? BB_BODY_END_FRAMED : BB_BODY_END_CLOSE;
+}
+
 static void finish_execution(struct bb_execution *x, CURLcode code)
 {
 	struct bb_execution_result r = { 0 };
@@ -244,6 +257,7 @@
 	r.latency_us = bb_clock_now_us() - x->started_us;
 	r.new_connection = connects > 0;
 	r.local_port = (unsigned int)local_port;
+	r.body_end = body_end(x);
 	r.opened_us = x->opened_us;
 	r.closed_idle = update_connections(x, r.end == BB_EXECUTION_TIMEOUT);
 	if (x->foreign_id)
@@ -361,6 +375,12 @@
 	(void)purpose;
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
+	if (x->fd >= 0) {
+		bb_metrics_add(BB_METRIC_REQUESTS_RESENT, 1);
+		bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, x->request_id,
+			     "resent", "origin=%s same_descriptor=%d",
+			     x->origin, fd == x->fd);
+	}
 	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
 		       sizeof(unacknowledged_ms)))
 		bb_log_warning(BB_LOG_BACKEND,
@@ -380,11 +400,34 @@
 	return close(fd);
 }
 
+static unsigned int local_port(int fd)
+{
+	union {
+		struct sockaddr any;
+		struct sockaddr_in ipv4;
+		struct sockaddr_in6 ipv6;
+	} address = { 0 };
+	socklen_t size = sizeof(address);
+
+	if (getsockname(fd, &address.any, &size))
+		return 0;
+	return ntohs(address.any.sa_family == AF_INET6 ?
+			     address.ipv6.sin6_port :
+			     address.ipv4.sin_port);
+}
+
 /* libcurl notices the shutdown before it would reuse the connection. */
-static void close_idle(void *data, int fd)
+static void close_idle(void *data, const struct bb_idle_connection *n)
 {
 	(void)data;
-	shutdown(fd, SHUT_RDWR);
+	bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL,
+		     "idle_connection_closed",
+		     "origin=%s reason=%s port=%u requests=%u"
+		     " open_ms=%" G_GINT64_FORMAT,
+		     n->origin, bb_connection_fault_string[n->fault],
+		     local_port(n->fd), n->requests_nr,
+		     (bb_clock_now_us() - n->opened_us) / BB_US_PER_MS);
+	shutdown(n->fd, SHUT_RDWR);
 }
 
 struct bb_executor *bb_executor_new(GMainContext *context, struct bb_error *err)
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -71,6 +71,21 @@
 
 extern const char *const bb_execution_end_string[];
 
+/**
+ * enum bb_body_end - what tells where the body of a response ends.
+ * @BB_BODY_END_LENGTH: its Content-Length
+ * @BB_BODY_END_FRAMED: its chunks, or a status or method without a body
+ * @BB_BODY_END_CLOSE: the end of the connection
+ */
+enum bb_body_end {
+	BB_BODY_END_LENGTH,
+	BB_BODY_END_FRAMED,
+	BB_BODY_END_CLOSE,
+	BB_BODY_END_COUNT
+};
+
+extern const char *const bb_body_end_string[];
+
 /**
  * struct bb_execution_request - what to send; copied by bb_executor_start().
  * @url: http://IP:port of the backend server
@@ -114,6 +129,7 @@
  * @latency_us: time from start to end
  * @new_connection: a new connection was opened for the request
  * @local_port: port of this end of its connection, 0 if there was none
+ * @body_end: what tells where the body ends
  * @opened_us: when its connection was opened, 0 if unknown
  * @closed_idle: number of idle connections to the backend server closed because
  *               they no longer work, see connections.h
@@ -131,6 +147,7 @@
 	int64_t latency_us;
 	bool new_connection;
 	unsigned int local_port;
+	enum bb_body_end body_end;
 	int64_t opened_us;
 	unsigned int closed_idle;
 	struct bb_notice notice;
--- a/src/test_lib/test_connections.cc
+++ b/src/test_lib/test_connections.cc
@@ -25,8 +25,8 @@
 struct Connections {
 	std::set<int> closed;
 	struct bb_connections *c = bb_connections_new(
-		[](void *data, int fd) {
-			((Connections *)data)->closed.insert(fd);
+		[](void *data, const struct bb_idle_connection *n) {
+			((Connections *)data)->closed.insert(n->fd);
 		},
 		this);
 
