Executor: a request that is sent again keeps its new connection

Cause: the executor knew its connection by the descriptor. When a kept connection was reset, libcurl sent the request again on a new one, mostly with the same descriptor; track_socket() took it for the connection that the request had already, so the new one had no user and counted as idle. The next idempotent request to that backend server found unread bytes on it, which were a part of the answer, and shut it down. libcurl read an orderly end, and an answer without a length that ends so is complete.

Change: each connection has a serial number that is never used again, and a request refers to it by struct bb_connection_use. A connection belongs to the request that opens it from the beginning. An answer counts for the connection that it came on, not for a later one with the same descriptor, and the time of opening after a repeat is that of the new connection.

In Connections.DescriptorInUseAgainStaysBusy the connections are opened and used in one call now; what it expects is the same.

--- a/src/libnode/connections.c
+++ b/src/libnode/connections.c
@@ -12,6 +12,7 @@
 
 /**
  * struct connection - an open connection.
+ * @serial: number of the connection
  * @origin: backend server that it leads to
  * @opened_us: time of its opening
  * @answered_us: time of the last answer on it, INT64_MIN for none
@@ -20,6 +21,7 @@
  * @closing: the owner was told to close it
  */
 struct connection {
+	uint64_t serial;
 	struct origin *origin;
 	int64_t opened_us;
 	int64_t answered_us;
@@ -48,12 +50,14 @@
  * struct bb_connections - the connections of an executor.
  * @close: closes an idle connection
  * @data: passed to @close
+ * @last_serial: number of the newest connection
  * @by_fd: struct connection by socket
  * @origins: struct origin by URL
  */
 struct bb_connections {
 	bb_connection_close *close;
 	void *data;
+	uint64_t last_serial;
 	GHashTable *by_fd;
 	GHashTable *origins;
 };
@@ -107,17 +111,38 @@
 	return g_hash_table_lookup(c->by_fd, GINT_TO_POINTER(fd));
 }
 
-void bb_connections_opened(struct bb_connections *c, int fd, const char *origin,
-			   int64_t now_us)
+/* Return: the connection of @use, NULL if it was closed. */
+static struct connection *find_used(const struct bb_connections *c,
+				    const struct bb_connection_use *use)
+{
+	struct connection *n = find(c, use->fd);
+
+	return n && n->serial == use->serial ? n : NULL;
+}
+
+static struct bb_connection_use use_of(int fd, const struct connection *n)
+{
+	return (struct bb_connection_use){ .fd = fd,
+					   .serial = n->serial,
+					   .opened_us = n->opened_us };
+}
+
+struct bb_connection_use bb_connections_opened(struct bb_connections *c, int fd,
+					       const char *origin,
+					       const void *user, int64_t now_us)
 {
 	struct connection *n = g_new0(struct connection, 1);
 
 	bb_connections_closed(c, fd);
+	n->serial = ++c->last_serial;
 	n->origin = get_origin(c, origin);
 	n->origin->connections_nr++;
 	n->opened_us = now_us;
 	n->answered_us = INT64_MIN;
+	n->user = user;
+	n->requests_nr = 1;
 	g_hash_table_insert(c->by_fd, GINT_TO_POINTER(fd), n);
+	return use_of(fd, n);
 }
 
 void bb_connections_closed(struct bb_connections *c, int fd)
@@ -133,20 +158,27 @@
 		g_hash_table_remove(c->origins, o->url);
 }
 
-int64_t bb_connections_use(struct bb_connections *c, int fd, const void *user)
+void bb_connections_use(struct bb_connections *c, int fd, const void *user,
+			struct bb_connection_use *use)
 {
 	struct connection *n = find(c, fd);
 
-	if (!n)
-		return INT64_MAX;
+	if (!n) {
+		*use = (struct bb_connection_use){ 0 };
+		return;
+	}
+	if (n->serial == use->serial)
+		return;
 	n->user = user;
 	n->requests_nr++;
-	return n->opened_us;
+	*use = use_of(fd, n);
 }
 
-void bb_connections_release(struct bb_connections *c, int fd, const void *user)
+void bb_connections_release(struct bb_connections *c,
+			    const struct bb_connection_use *use,
+			    const void *user)
 {
-	struct connection *n = find(c, fd);
+	struct connection *n = find_used(c, use);
 
 	if (n && n->user == user)
 		n->user = NULL;
@@ -216,16 +248,17 @@
 	return nr;
 }
 
-unsigned int bb_connections_answered(struct bb_connections *c, int fd,
+unsigned int bb_connections_answered(struct bb_connections *c,
+				     const struct bb_connection_use *use,
 				     const char *origin, int64_t now_us)
 {
-	struct connection *n = find(c, fd);
+	struct connection *n = find_used(c, use);
 	struct origin *o = g_hash_table_lookup(c->origins, origin);
 	unsigned int nr = 0;
 
 	if (!o)
 		return 0;
-	if (n && n->origin == o)
+	if (n)
 		n->answered_us = now_us;
 	o->answered_us = now_us;
 	if (o->timed_out_request_us != INT64_MIN)
--- a/src/libnode/connections.h
+++ b/src/libnode/connections.h
@@ -71,14 +71,30 @@
 void bb_connections_delete(struct bb_connections *c);
 
 /**
- * bb_connections_opened() - add a connection that is being opened.
+ * struct bb_connection_use - the connection that a request uses. All fields are
+ * 0 while there is none.
+ * @fd: its socket; a later connection may have the same descriptor
+ * @serial: number of the connection, never used again
+ * @opened_us: time of its opening
+ */
+struct bb_connection_use {
+	int fd;
+	uint64_t serial;
+	int64_t opened_us;
+};
+
+/**
+ * bb_connections_opened() - add a connection that a request opens and uses.
  * @c: connections
  * @fd: its socket
  * @origin: URL of the backend server
+ * @user: identifies the request
  * @now_us: current time
  */
-void bb_connections_opened(struct bb_connections *c, int fd, const char *origin,
-			   int64_t now_us);
+struct bb_connection_use bb_connections_opened(struct bb_connections *c, int fd,
+					       const char *origin,
+					       const void *user,
+					       int64_t now_us);
 
 /**
  * bb_connections_closed() - remove a connection whose socket was closed.
@@ -86,34 +102,37 @@
 void bb_connections_closed(struct bb_connections *c, int fd);
 
 /**
- * bb_connections_use() - note that a request uses a connection.
+ * bb_connections_use() - note that a request uses an open connection.
  * @c: connections
  * @fd: its socket
  * @user: identifies the request
- *
- * Return: time when the connection was opened, INT64_MAX if it is not tracked.
+ * @use: connection that the request used before, or none; set to the present
+ *       one, or to none if that is not tracked
  */
-int64_t bb_connections_use(struct bb_connections *c, int fd, const void *user);
+void bb_connections_use(struct bb_connections *c, int fd, const void *user,
+			struct bb_connection_use *use);
 
 /**
  * bb_connections_release() - note that a request has ended.
  * @c: connections
- * @fd: socket that it used; it may be closed already, and the descriptor that
- *      of another connection
+ * @use: connection that it used, which may be closed already
  * @user: as for bb_connections_use()
  */
-void bb_connections_release(struct bb_connections *c, int fd, const void *user);
+void bb_connections_release(struct bb_connections *c,
+			    const struct bb_connection_use *use,
+			    const void *user);
 
 /**
  * bb_connections_answered() - note that the head of a response was received.
  * @c: connections
- * @fd: socket, which may be closed already
+ * @use: connection that it came on, which may be closed already
  * @origin: URL of the backend server
  * @now_us: current time
  *
  * Return: number of idle connections closed.
  */
-unsigned int bb_connections_answered(struct bb_connections *c, int fd,
+unsigned int bb_connections_answered(struct bb_connections *c,
+				     const struct bb_connection_use *use,
 				     const char *origin, int64_t now_us);
 
 /**
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -71,8 +71,7 @@
  * @origin: URL of the backend server without the target
  * @body: copy of the request body
  * @max_body: limit on the response body in bytes
- * @fd: socket in use, -1 before there is one
- * @reused: the connection was opened before the request started
+ * @connection: connection in use
  * @got_bytes: a byte of the response was received
  * @head_bytes: size of all heads and trailers so far
  * @head_complete: the head of the final response was received
@@ -85,7 +84,6 @@
  * @foreign_id: request id in the response if it is that of another request, or
  *              NULL
  * @started_us: when the request was started
- * @opened_us: when its connection was opened, 0 if unknown
  * @detail: error text of libcurl
  */
 struct bb_execution {
@@ -96,8 +94,7 @@
 	char *url;
 	char *body;
 	size_t max_body;
-	int fd;
-	bool reused;
+	struct bb_connection_use connection;
 	bool got_bytes;
 	bool too_large;
 	size_t head_bytes;
@@ -111,7 +108,6 @@
 	bool identified;
 	char *foreign_id;
 	int64_t started_us;
-	int64_t opened_us;
 	GByteArray *response_body;
 	GString *response_head;
 	GArray *response_headers;
@@ -209,6 +205,12 @@
 	}
 }
 
+/* Whether its connection was opened for an earlier request. */
+static bool uses_kept_connection(const struct bb_execution *x)
+{
+	return x->connection.serial && x->connection.opened_us < x->started_us;
+}
+
 /* Return: number of idle connections closed. */
 static unsigned int update_connections(struct bb_execution *x, bool timed_out)
 {
@@ -216,13 +218,12 @@
 	unsigned int nr = 0;
 
 	if (x->head_complete)
-		nr = bb_connections_answered(c, x->fd, x->origin,
+		nr = bb_connections_answered(c, &x->connection, x->origin,
 					     bb_clock_now_us());
-	else if (timed_out && x->reused && !x->got_bytes)
+	else if (timed_out && uses_kept_connection(x) && !x->got_bytes)
 		nr = bb_connections_request_timed_out(c, x->origin,
 						      x->started_us);
-	if (x->fd >= 0)
-		bb_connections_release(c, x->fd, x);
+	bb_connections_release(c, &x->connection, x);
 	return nr;
 }
 
@@ -258,7 +259,7 @@
 	r.new_connection = connects > 0;
 	r.local_port = (unsigned int)local_port;
 	r.body_end = body_end(x);
-	r.opened_us = x->opened_us;
+	r.opened_us = x->connection.opened_us;
 	r.closed_idle = update_connections(x, r.end == BB_EXECUTION_TIMEOUT);
 	if (x->foreign_id)
 		g_snprintf(x->detail, sizeof(x->detail),
@@ -309,13 +310,8 @@
 
 	/* libcurl also has internal handles, without an execution. */
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
-	if (!x || x->fd == fd)
-		return;
-	x->fd = fd;
-	x->opened_us = bb_connections_use(e->connections, fd, x);
-	x->reused = x->opened_us < x->started_us;
-	if (x->opened_us == INT64_MAX)
-		x->opened_us = 0;
+	if (x)
+		bb_connections_use(e->connections, fd, x, &x->connection);
 }
 
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *data,
@@ -375,11 +371,11 @@
 	(void)purpose;
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
-	if (x->fd >= 0) {
+	if (x->connection.serial) {
 		bb_metrics_add(BB_METRIC_REQUESTS_RESENT, 1);
 		bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, x->request_id,
 			     "resent", "origin=%s same_descriptor=%d",
-			     x->origin, fd == x->fd);
+			     x->origin, fd == x->connection.fd);
 	}
 	if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
 		       sizeof(unacknowledged_ms)))
@@ -387,8 +383,8 @@
 			       "cannot set TCP_USER_TIMEOUT of a connection to "
 			       "a backend server: %s; using the default",
 			       g_strerror(errno));
-	bb_connections_opened(x->executor->connections, fd, x->origin,
-			      bb_clock_now_us());
+	x->connection = bb_connections_opened(x->executor->connections, fd,
+					      x->origin, x, bb_clock_now_us());
 	return fd;
 }
 
@@ -675,7 +671,6 @@
 	x->max_body = r->max_body;
 	x->dialect = r->dialect ? r->dialect : &bb_dialect_default;
 	x->started_us = bb_clock_now_us();
-	x->fd = -1;
 	x->origin = g_strdup(r->url);
 	x->url = g_strdup_printf("%s%.*s", r->url, (int)r->target.size,
 				 r->target.data);
--- a/src/test_lib/test_connections.cc
+++ b/src/test_lib/test_connections.cc
@@ -34,12 +34,16 @@
 	{
 		bb_connections_delete(c);
 	}
-	// Opens a connection and receives an answer on it.
-	void used(int fd, int64_t opened, int64_t answered,
-		  const char *origin = "a")
+	// Opens a connection, receives an answer on it and leaves it idle.
+	struct bb_connection_use used(int fd, int64_t opened, int64_t answered,
+				      const char *origin = "a")
 	{
-		bb_connections_opened(c, fd, origin, opened);
-		bb_connections_answered(c, fd, origin, answered);
+		struct bb_connection_use use =
+			bb_connections_opened(c, fd, origin, this, opened);
+
+		bb_connections_answered(c, &use, origin, answered);
+		bb_connections_release(c, &use, this);
+		return use;
 	}
 };
 
@@ -178,15 +182,18 @@
 TEST(Connections, ClosesIdleOnesThatDidNotAnswerSince)
 {
 	Connections x;
+	struct bb_connection_use third, fifth, sixth;
 
 	x.used(1, 10, 20);
 	x.used(2, 10, 30);
-	x.used(3, 10, 40);
+	third = x.used(3, 10, 40);
 	x.used(4, 10, 40, "b");
-	x.used(5, 10, 40);
-	bb_connections_use(x.c, 5, &x);
-	bb_connections_opened(x.c, 6, "a", 110);
-	bb_connections_answered(x.c, 3, "a", 120);
+	fifth = x.used(5, 10, 40);
+	fifth.serial = 0;
+	bb_connections_use(x.c, 5, &x, &fifth);
+	sixth = bb_connections_opened(x.c, 6, "a", &x, 110);
+	bb_connections_release(x.c, &sixth, &x);
+	bb_connections_answered(x.c, &third, "a", 120);
 	bb_connections_closed(x.c, 1);
 	EXPECT_EQ(1u, bb_connections_request_timed_out(x.c, "a", 100));
 	EXPECT_EQ(std::set<int>{ 2 }, x.closed);
@@ -201,6 +208,7 @@
 TEST(Connections, WaitsForAnAnswerOnAnother)
 {
 	Connections x;
+	struct bb_connection_use fourth;
 
 	x.used(1, 10, 20);
 	x.used(2, 10, 30);
@@ -209,8 +217,8 @@
 	EXPECT_EQ(0u, bb_connections_request_timed_out(x.c, "a", 100));
 	EXPECT_TRUE(x.closed.empty());
 	EXPECT_TRUE(bb_connections_avoid_reuse(x.c, "a"));
-	bb_connections_opened(x.c, 4, "a", 200);
-	EXPECT_EQ(2u, bb_connections_answered(x.c, 4, "a", 210));
+	fourth = bb_connections_opened(x.c, 4, "a", &x, 200);
+	EXPECT_EQ(2u, bb_connections_answered(x.c, &fourth, "a", 210));
 	EXPECT_EQ((std::set<int>{ 2, 3 }), x.closed);
 	EXPECT_FALSE(bb_connections_avoid_reuse(x.c, "a"));
 	// The state of a backend server is dropped with its last connection.
@@ -225,19 +233,57 @@
 TEST(Connections, DescriptorInUseAgainStaysBusy)
 {
 	Connections x;
-	int first, second;
+	struct bb_connection_use first;
+	int one, other;
 
-	x.used(1, 10, 20);
-	bb_connections_use(x.c, 1, &first);
+	first = bb_connections_opened(x.c, 1, "a", &one, 10);
 	bb_connections_closed(x.c, 1);
-	bb_connections_opened(x.c, 1, "a", 50);
-	bb_connections_use(x.c, 1, &second);
-	bb_connections_release(x.c, 1, &first);
+	bb_connections_opened(x.c, 1, "a", &other, 50);
+	bb_connections_release(x.c, &first, &one);
 	x.used(2, 60, 130);
 	bb_connections_request_timed_out(x.c, "a", 100);
 	EXPECT_TRUE(x.closed.empty());
 }
 
+// Guards against closing a connection in use as idle, because its request was
+// sent before on another one that had the same descriptor.
+TEST(Connections, RequestSentAgainOnTheSameDescriptorStaysBusy)
+{
+	Connections x;
+	struct bb_connection_use use = {};
+	int request;
+
+	x.used(1, 10, 20);
+	bb_connections_use(x.c, 1, &request, &use);
+	EXPECT_EQ(10, use.opened_us);
+	bb_connections_closed(x.c, 1);
+	use = bb_connections_opened(x.c, 1, "a", &request, 50);
+	bb_connections_use(x.c, 1, &request, &use);
+	EXPECT_EQ(50, use.opened_us);
+	EXPECT_EQ(0u, bb_connections_close_unsolicited(x.c, "a", [](int) {
+			  return true;
+		  }));
+	bb_connections_release(x.c, &use, &request);
+	EXPECT_EQ(1u, bb_connections_close_unsolicited(x.c, "a", [](int) {
+			  return true;
+		  }));
+}
+
+// Guards against an answer that counts for a later connection with the same
+// descriptor, which then is not closed although it has gone silent.
+TEST(Connections, AnswerCountsForItsOwnConnectionOnly)
+{
+	Connections x;
+	struct bb_connection_use first, second;
+
+	first = bb_connections_opened(x.c, 1, "a", &x, 10);
+	bb_connections_closed(x.c, 1);
+	second = bb_connections_opened(x.c, 1, "a", &x, 50);
+	bb_connections_release(x.c, &second, &x);
+	bb_connections_answered(x.c, &first, "a", 110);
+	EXPECT_EQ(1u, bb_connections_request_timed_out(x.c, "a", 100));
+}
+
 // Guards against attributing a response to another connection: the time of the
 // opening of its connection shows whether a backend server was restarted.
 TEST(Executor, ReportsWhenTheConnectionWasOpened)
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -201,13 +201,13 @@
 		bb_executor_delete(executor);
 		g_main_context_unref(context);
 	}
-	Result get(const std::string &url, const std::string &id,
-		   bool once = false)
+	// @result must outlive the request.
+	void start(const std::string &url, const std::string &id,
+		   Result *result, bool once = false)
 	{
 		struct bb_header h = { { "X-Id", 4 },
 				       { id.data(), id.size() } };
 		struct bb_execution_request r = {};
-		Result result;
 
 		r.url = url.c_str();
 		r.target = { "/x", 2 };
@@ -218,9 +218,20 @@
 		r.max_body = 100;
 		r.at_most_once = once;
 		r.dialect = &kDialect;
-		bb_executor_start(executor, &r, keep_result, &result, nullptr);
+		bb_executor_start(executor, &r, keep_result, result, nullptr);
+	}
+	void wait(const Result &result)
+	{
 		while (!result.done)
 			g_main_context_iteration(context, TRUE);
+	}
+	Result get(const std::string &url, const std::string &id,
+		   bool once = false)
+	{
+		Result result;
+
+		start(url, id, &result, once);
+		wait(result);
 		return result;
 	}
 };
@@ -370,6 +381,55 @@
 	}
 }
 
+// Guards against an answer without a length that this end cuts off, and that
+// is passed on as complete, after its request was sent again on a new connection
+// with the descriptor of the former one.
+TEST(Executor, AnswerToARequestSentAgainIsNotCutOff)
+{
+	const std::string piece = "0123456789";
+	std::atomic<int> pieces{ 0 };
+	KeepingServer s([&](int fd, int connection, int request) {
+		struct linger now = { 1, 0 };
+
+		if (connection == 0 && request == 0) {
+			send_text(fd, answer("one", "1"));
+		} else if (connection == 0) {
+			// The close after this is a reset.
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &now,
+				   sizeof(now));
+			shutdown(fd, SHUT_RD);
+		} else if (connection == 1) {
+			send_text(fd, kOk + "Connection: close\r\n\r\n");
+			while (pieces < 8) {
+				send_text(fd, piece);
+				pieces++;
+				usleep(20000);
+			}
+			shutdown(fd, SHUT_RDWR);
+		} else {
+			send_text(fd, answer("two", "2"));
+		}
+	});
+	Caller c;
+	Result first;
+
+	EXPECT_EQ(BB_EXECUTION_DONE, c.get(s.url, "one").end);
+	c.start(s.url, "one", &first);
+	while (!pieces && !first.done) {
+		g_main_context_iteration(c.context, FALSE);
+		usleep(1000);
+	}
+	// Unread bytes of the first answer wait whenever a request starts.
+	for (int seen = 2; seen < 8; seen++) {
+		while (pieces < seen)
+			usleep(1000);
+		c.get(s.url, "two");
+	}
+	c.wait(first);
+	EXPECT_EQ(BB_EXECUTION_DONE, first.end);
+	EXPECT_EQ(8 * piece.size(), first.body.size());
+}
+
 // Guards against bookings and health checks that meet what is still due on a
 // connection of a lookup, or leave their own to the next lookup. Health checks
 // have no id by which their answer could be told.
