Executor: test that a request which cannot be sent again may have run

CURLINFO_REQUEST_SIZE, by which "not sent" is told, could have counted the second connection only; then a request that may have run would have been reported as not run.

--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -430,6 +430,30 @@
 	EXPECT_EQ(8 * piece.size(), first.body.size());
 }
 
+// Guards against "not sent" for a request that a backend server got on a kept
+// connection before both failed, and that could not be sent again.
+TEST(Executor, RequestThatCannotBeSentAgainMayHaveRun)
+{
+	KeepingServer *server = nullptr;
+	KeepingServer s([&](int fd, int, int request) {
+		struct linger now = { 1, 0 };
+
+		if (request == 0) {
+			send_text(fd, answer("one", "1"));
+			return;
+		}
+		// Ends the listening socket, then resets the connection.
+		shutdown(server->fd, SHUT_RDWR);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+		shutdown(fd, SHUT_RD);
+	});
+	Caller c;
+
+	server = &s;
+	EXPECT_EQ(BB_EXECUTION_DONE, c.get(s.url, "one").end);
+	EXPECT_EQ(BB_EXECUTION_BROKEN, c.get(s.url, "two").end);
+}
+
 // Guards against bookings and health checks that meet what is still due on a
 // connection of a lookup, or leave their own to the next lookup. Health checks
 // have no id by which their answer could be told.
