Endpoint: a waiting message keeps its sender when the list of hosts changes

The message names its sender by a row of the list of hosts.

Change: the sender is looked up by name in the new list; without it the message is dropped, as the transport does with messages of unknown hosts.

--- a/include/baobabward/transport.h
+++ b/include/baobabward/transport.h
@@ -295,6 +295,26 @@
 const struct bb_sender *
 bb_received_message_sender(const struct bb_received_message *r);
 
+/**
+ * bb_received_message_sender_name() - name of the host that sent a message.
+ * @t: transport that received it, not updated since then
+ * @r: received message
+ *
+ * Return: name that lives until the next update of the peers, NULL if the sender
+ * is not known or has no name.
+ */
+const char *
+bb_received_message_sender_name(const struct bb_transport *t,
+				const struct bb_received_message *r);
+
+/**
+ * bb_received_message_rebind() - give a received message the host index that its
+ * sender has in a new list of peers.
+ * @r: received message
+ * @host: host index
+ */
+void bb_received_message_rebind(struct bb_received_message *r, uint32_t host);
+
 /**
  * bb_received_message_delete() - free a received message.
  * @r: received message, may be NULL
--- a/src/libnode/endpoint.c
+++ b/src/libnode/endpoint.c
@@ -1,6 +1,9 @@
 #include "libnode/endpoint.h"
 
+#include <string.h>
+
 #include "baobabward/config.h"
+#include "baobabward/metrics.h"
 #include "baobabward/rounds.h"
 
 /* Messages handled in one dispatch, so that other sources do not starve. */
@@ -95,11 +98,44 @@
 	return p->transport;
 }
 
+/* Return: host index that the sender of the waiting message has in @config. */
+static uint32_t find_pending_sender(const struct bb_endpoint *p,
+				    const struct bb_config *config)
+{
+	const char *name;
+
+	if (!p->pending)
+		return BB_NO_ROW;
+	name = bb_received_message_sender_name(p->transport, p->pending);
+	return name ? bb_config_find_host(config, name, strlen(name)) :
+		      BB_NO_ROW;
+}
+
+/*
+ * The waiting message has the host index of the former list of peers. Without
+ * its sender in the new one it is dropped, as the transport does.
+ */
+static void rebind_pending(struct bb_endpoint *p, uint32_t host)
+{
+	/* Without names and keys, the senders of requests are not known. */
+	if (!p->pending ||
+	    bb_received_message_sender(p->pending)->host == BB_NO_ROW)
+		return;
+	if (host != BB_NO_ROW) {
+		bb_received_message_rebind(p->pending, host);
+		return;
+	}
+	bb_metrics_add(BB_METRIC_PEER_MESSAGES_BAD, 1);
+	bb_received_message_delete(p->pending);
+	p->pending = NULL;
+}
+
 int bb_endpoint_configure(struct bb_endpoint *p, const struct bb_config *config,
 			  bool control, struct bb_error *err)
 {
 	struct bb_transport_peer *peers =
 		g_new0(struct bb_transport_peer, config->hosts_nr);
+	uint32_t sender;
 	int rc;
 
 	for (size_t i = 0; i < config->hosts_nr; i++) {
@@ -110,7 +146,10 @@
 		peers[i].port = control ? h->control_port : h->data_port;
 		peers[i].curve_key = h->curve_key;
 	}
+	sender = find_pending_sender(p, config);
 	rc = bb_transport_update(p->transport, peers, config->hosts_nr, err);
+	if (!rc)
+		rebind_pending(p, sender);
 	g_free(peers);
 	return rc;
 }
--- a/src/libwire/transport.c
+++ b/src/libwire/transport.c
@@ -648,6 +648,21 @@
 	return &r->sender;
 }
 
+const char *bb_received_message_sender_name(const struct bb_transport *t,
+					    const struct bb_received_message *r)
+{
+	const char *name = r->sender.host < t->peers_nr ?
+				   t->peers[r->sender.host].name :
+				   "";
+
+	return *name ? name : NULL;
+}
+
+void bb_received_message_rebind(struct bb_received_message *r, uint32_t host)
+{
+	r->sender.host = host;
+}
+
 void bb_received_message_delete(struct bb_received_message *r)
 {
 	if (!r)
