Executor: an idle connection that is closed here reads as broken, not as ended

Whatever takes a connection in use for an idle one then turns an answer without a length into a short 200.

Change: bb_socket_break_off() resets the connection, so that reads at this end fail. Only idle connections are closed so, which no request is waiting for; the backend server sees a reset in place of an end, after it sent bytes that nobody had asked for, or on a connection that does not carry its answers any more.

Socket.BrokenOffConnectionReadsAsAnError fails with shutdown() in its place (a read returns 0, and before it the byte that had arrived).

--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -15,6 +15,7 @@
 #include "libnode/connections.h"
 #include "libnode/headers.h"
 #include "libnode/loop.h"
+#include "libnode/socket.h"
 
 const char *const bb_execution_end_string[] = {
 	"done",	     "not sent", "timeout",	"broken", "truncated",
@@ -396,23 +397,7 @@
 	return close(fd);
 }
 
-static unsigned int local_port(int fd)
-{
-	union {
-		struct sockaddr any;
-		struct sockaddr_in ipv4;
-		struct sockaddr_in6 ipv6;
-	} address = { 0 };
-	socklen_t size = sizeof(address);
-
-	if (getsockname(fd, &address.any, &size))
-		return 0;
-	return ntohs(address.any.sa_family == AF_INET6 ?
-			     address.ipv6.sin6_port :
-			     address.ipv4.sin_port);
-}
-
-/* libcurl notices the shutdown before it would reuse the connection. */
+/* libcurl notices the end before it would reuse the connection. */
 static void close_idle(void *data, const struct bb_idle_connection *n)
 {
 	(void)data;
@@ -421,9 +406,13 @@
 		     "origin=%s reason=%s port=%u requests=%u"
 		     " open_ms=%" G_GINT64_FORMAT,
 		     n->origin, bb_connection_fault_string[n->fault],
-		     local_port(n->fd), n->requests_nr,
+		     bb_socket_local_port(n->fd), n->requests_nr,
 		     (bb_clock_now_us() - n->opened_us) / BB_US_PER_MS);
-	shutdown(n->fd, SHUT_RDWR);
+	if (bb_socket_break_off(n->fd))
+		bb_log_warning(BB_LOG_BACKEND,
+			       "cannot close an idle connection to %s: %s; it "
+			       "may be used again",
+			       n->origin, g_strerror(errno));
 }
 
 struct bb_executor *bb_executor_new(GMainContext *context, struct bb_error *err)
