Traffic: all hosts are told of a planned stop after the list of hosts changed

After a change of the list another host may say HELLO under the same row and take the place of the first, which is not told. It then sends requests to a node that refuses them, and each costs its caller another attempt; no request is lost, since such a refusal is true.

Change: they are kept by the name of the host.

--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -62,7 +62,8 @@
  * @notices: what backend servers said of themselves
  * @snapshot: configuration in force
  * @housekeeping: periodic timer
- * @hello_senders: last sender of a HELLO by host; notified when this node stops
+ * @hello_senders: last sender of a HELLO by the name of its host; notified when
+ *                 this node stops
  * @draining: this node is stopping and accepts no more requests of other nodes
  * @in_progress: number of calls and requests, read by other threads
  * @tokens_pending: a COMMAND_TOKENS_ARRIVED is queued; set by other threads
@@ -155,13 +156,16 @@
 static void handle_hello(struct bb_traffic *t, const struct bb_sender *from,
 			 const struct bb_message_hello *h)
 {
+	const struct bb_config *c = t->snapshot->config;
+
 	if (t->draining) {
 		send_stopping(t, from);
 		return;
 	}
-	if (from->host != BB_NO_ROW)
+	/* The row of a host changes with the configuration. */
+	if (from->host < c->hosts_nr)
 		g_hash_table_replace(t->hello_senders,
-				     GUINT_TO_POINTER(from->host),
+				     g_strdup(c->hosts[from->host].name),
 				     g_memdup2(from, sizeof(*from)));
 	send_welcome(t, from, h);
 }
@@ -431,7 +435,8 @@
 	t->o = *o;
 	t->context = bb_loop_new();
 	t->loop = g_main_loop_new(t->context, FALSE);
-	t->hello_senders = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	t->hello_senders =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (create_components(t, err)) {
 		free_components(t);
 		return NULL;
--- /dev/null
+++ b/src/test_lib/test_traffic.cc
@@ -0,0 +1,153 @@
+// The traffic thread, with other nodes over real sockets.
+#include <arpa/inet.h>
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "config_fixture.h"
+
+extern "C" {
+#include "libnode/traffic.h"
+}
+#include "baobabward/transport.h"
+
+namespace
+{
+
+// Upper limit of every wait; only reached when a test fails.
+const gint64 kWaitUs = 10000000;
+
+uint16_t free_port()
+{
+	struct sockaddr_in a = {};
+	socklen_t size = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_family = AF_INET;
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, size));
+	EXPECT_EQ(0, getsockname(fd, (struct sockaddr *)&a, &size));
+	close(fd);
+	return ntohs(a.sin_port);
+}
+
+std::string host_row(const std::string &name, uint16_t port)
+{
+	return "{\"name\":\"" + name +
+	       "\",\"region\":\"r\",\"zone\":\"za\",\"address\":\"127.0.0.1\","
+	       "\"data_port\":" +
+	       std::to_string(port) +
+	       ",\"control_port\":" + std::to_string(name.size()) + "}";
+}
+
+// Another node, which has a connection to the one under test.
+struct Peer {
+	struct bb_transport *t;
+
+	Peer(const char *name, uint16_t port)
+	{
+		struct bb_transport_options o = {};
+		struct bb_transport_peer to = { "node", "127.0.0.1", port,
+						nullptr };
+
+		o.address = "127.0.0.1";
+		o.name = name;
+		o.bytes_in_metric = BB_METRIC_PEER_BYTES_IN;
+		o.bytes_out_metric = BB_METRIC_PEER_BYTES_OUT;
+		t = bb_transport_new(&o, nullptr);
+		EXPECT_EQ(0, bb_transport_update(t, &to, 1, nullptr));
+	}
+	~Peer()
+	{
+		bb_transport_delete(t);
+	}
+	std::string row(const std::string &name) const
+	{
+		return host_row(name, bb_transport_port(t));
+	}
+	// Waits for a message of a type. Sends HELLO until then if @hello.
+	bool wait(enum bb_message_type type, bool hello)
+	{
+		gint64 end_us = g_get_monotonic_time() + kWaitUs;
+		bool found = false;
+
+		while (!found && g_get_monotonic_time() < end_us) {
+			struct bb_message m = {};
+			struct bb_received_message *r;
+
+			m.type = BB_MESSAGE_HELLO;
+			if (hello)
+				bb_transport_send(t, 0, &m, nullptr);
+			g_usleep(5000);
+			while ((r = bb_transport_receive(t))) {
+				found |= bb_received_message_get(r)->type ==
+					 type;
+				bb_received_message_delete(r);
+			}
+		}
+		return found;
+	}
+};
+
+struct Traffic {
+	uint16_t port = free_port();
+	struct bb_settings settings = {};
+	struct bb_snapshots *snapshots = bb_snapshots_new("node");
+	struct bb_traffic *t = nullptr;
+	int version = 0;
+
+	~Traffic()
+	{
+		if (t)
+			bb_traffic_delete(t);
+		bb_snapshots_delete(snapshots);
+	}
+	void configure(const std::string &other_hosts)
+	{
+		struct bb_traffic_options o = {};
+		struct bb_error err = {};
+		struct bb_snapshot *s;
+		Document d;
+		std::string why;
+
+		d.version = std::to_string(++version);
+		d.hosts = other_hosts + "," + host_row("node", port);
+		d.backends = "";
+		Config c = parse(d.json(), &why);
+		ASSERT_TRUE(c) << why;
+		ASSERT_TRUE(bb_snapshots_swap(snapshots, c.release()));
+		s = bb_snapshots_get(snapshots);
+		o.incarnation = 1;
+		o.host = "node";
+		o.address = "127.0.0.1";
+		o.port = port;
+		o.settings = &settings;
+		if (t)
+			bb_traffic_configure(t, s);
+		else
+			t = bb_traffic_new(&o, s, &err);
+		bb_snapshot_put(s);
+		ASSERT_NE(nullptr, t) << err.message;
+	}
+};
+
+} // namespace
+
+// Guards against a planned stop that a host is not told of, because the row that
+// it had when it connected is that of another host now.
+TEST(Traffic, HostsAreToldOfAStopAfterRowsChanged)
+{
+	Traffic x;
+	Peer first("first", x.port), second("2nd", x.port);
+
+	x.configure(first.row("first"));
+	ASSERT_TRUE(first.wait(BB_MESSAGE_WELCOME, true));
+	x.configure(second.row("2nd") + "," + first.row("first"));
+	ASSERT_TRUE(second.wait(BB_MESSAGE_WELCOME, true));
+	bb_traffic_drain(x.t);
+	EXPECT_TRUE(first.wait(BB_MESSAGE_RESULT, false));
+	EXPECT_TRUE(second.wait(BB_MESSAGE_RESULT, false));
+}
