Front: refuse header names that are not tokens

A header that the node withholds or sets itself was passed on if the caller put a space or a tab before its colon (Client-Account, Host, Content-Length, Transfer-Encoding), or wrote underscores for hyphens. A lax backend server may take it for the node's own, or frame the body by it.

Change: such names are refused with 400 (RFC 9110, 5.6.2; RFC 9112, 5.1), names with underscores are withheld like those with hyphens, and whitespace before the colon in responses is removed, as RFC 9112 asks of a proxy.

--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -29,6 +29,7 @@
  * @content_length: the header is present
  * @transfer_encoding: the header is present
  * @duplicate_header: a header that may occur only once occurs more often
+ * @invalid_name: a header name is not a token
  * @continues_trace: @traceparent is valid and passed on
  * @headers_nr: number of all headers of the request
  */
@@ -46,6 +47,7 @@
 	bool content_length;
 	bool transfer_encoding;
 	bool duplicate_header;
+	bool invalid_name;
 	bool continues_trace;
 	size_t headers_nr;
 };
@@ -59,6 +61,8 @@
 
 	(void)kind;
 	s->headers_nr++;
+	if (!bb_header_name_is_valid(&n))
+		s->invalid_name = true;
 	if (!value)
 		value = "";
 	if (bb_header_is(&n, s->dialect->api_key))
@@ -294,7 +298,8 @@
 static enum bb_reason check_framing(const struct header_scan *s)
 {
 	/* Content-Length with Transfer-Encoding allows request smuggling. */
-	if (s->duplicate_header || (s->content_length && s->transfer_encoding))
+	if (s->duplicate_header || s->invalid_name ||
+	    (s->content_length && s->transfer_encoding))
 		return BB_REASON_BAD_REQUEST;
 	if (s->headers_nr > BB_HEADERS_MAX)
 		return BB_REASON_HEADERS_TOO_LARGE;
--- a/src/libnode/headers.c
+++ b/src/libnode/headers.c
@@ -18,9 +18,12 @@
 bool bb_header_parse(const char *line, size_t size, struct bb_header *h)
 {
 	const char *colon = memchr(line, ':', size);
+	const char *name_end = colon;
 	const char *v, *end = line + size;
 
-	if (!colon || colon == line)
+	while (name_end && name_end > line && g_ascii_isspace(name_end[-1]))
+		name_end--;
+	if (!colon || name_end == line)
 		return false;
 	v = colon + 1;
 	while (v < end && g_ascii_isspace(*v))
@@ -28,12 +31,24 @@
 	while (end > v && g_ascii_isspace(end[-1]))
 		end--;
 	h->name.data = line;
-	h->name.size = (size_t)(colon - line);
+	h->name.size = (size_t)(name_end - line);
 	h->value.data = v;
 	h->value.size = (size_t)(end - v);
 	return true;
 }
 
+bool bb_header_name_is_valid(const struct bb_bytes *name)
+{
+	for (size_t i = 0; i < name->size; i++) {
+		char c = name->data[i];
+
+		if (!c ||
+		    (!g_ascii_isalnum(c) && !strchr("!#$%&'*+-.^_`|~", c)))
+			return false;
+	}
+	return name->size;
+}
+
 bool bb_header_is(const struct bb_bytes *name, const char *other)
 {
 	return name->size == strlen(other) &&
@@ -59,8 +74,7 @@
 	return other && bb_header_is(name, other);
 }
 
-bool bb_header_is_withheld(const struct bb_bytes *name,
-			   const struct bb_dialect *d)
+static bool is_withheld(const struct bb_bytes *name, const struct bb_dialect *d)
 {
 	return bb_header_is_hop_by_hop(name) ||
 	       is_one_of(name, withheld, G_N_ELEMENTS(withheld)) ||
@@ -72,6 +86,24 @@
 	       bb_header_named(name, d->backend_id);
 }
 
+bool bb_header_is_withheld(const struct bb_bytes *name,
+			   const struct bb_dialect *d)
+{
+	struct bb_bytes hyphens = *name;
+	char *copy;
+	bool withheld_too;
+
+	if (is_withheld(name, d))
+		return true;
+	if (!memchr(name->data, '_', name->size))
+		return false;
+	hyphens.data = copy = g_strndup(name->data, name->size);
+	g_strdelimit(copy, "_", '-');
+	withheld_too = is_withheld(&hyphens, d);
+	g_free(copy);
+	return withheld_too;
+}
+
 bool bb_header_in_connection_list(const char *value,
 				  const struct bb_bytes *name)
 {
--- a/src/libnode/headers.h
+++ b/src/libnode/headers.h
@@ -15,12 +15,20 @@
  * bb_header_parse() - split a header line into name and value.
  * @line: line without LF, with or without CR
  * @size: number of bytes
- * @h: set on success; points into @line, whitespace around the value removed
+ * @h: set on success; points into @line, without whitespace around the value and
+ *     before the colon
  *
  * Return: false if the line has no name.
  */
 bool bb_header_parse(const char *line, size_t size, struct bb_header *h);
 
+/**
+ * bb_header_name_is_valid() - whether a header name is a token (RFC 9110, section
+ * 5.6.2). Servers may take others for the name of another header, for example
+ * one with a space before its colon.
+ */
+bool bb_header_name_is_valid(const struct bb_bytes *name);
+
 /**
  * bb_header_is() - compare header names, ignoring case.
  */
@@ -40,7 +48,8 @@
 /**
  * bb_header_is_withheld() - whether a request header is not passed on to
  * backend servers: credentials, hop-by-hop headers, and headers that the proxy
- * sets itself.
+ * sets itself; also with underscores for hyphens, which servers that hand headers
+ * on as variables cannot tell apart.
  */
 bool bb_header_is_withheld(const struct bb_bytes *name,
 			   const struct bb_dialect *d);
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -66,6 +66,29 @@
 	EXPECT_EQ("bad", parsed(""));
 	EXPECT_EQ("bad", parsed(":value"));
 	EXPECT_EQ("bad", parsed("no colon"));
+	// RFC 9112, 5.1: a proxy removes such whitespace from responses.
+	EXPECT_EQ("Name=value", parsed("Name \t: value"));
+	EXPECT_EQ("bad", parsed(" : value"));
+}
+
+// Guards against names that servers take for different ones, after RFC 9110,
+// 5.6.2.
+TEST(Headers, NamesAreTokens)
+{
+	for (const char *name : { "X-A", "x_a", "a", "!#$%&'*+-.^`|~9" }) {
+		std::string s = name;
+		struct bb_bytes b = bytes(s);
+
+		EXPECT_TRUE(bb_header_name_is_valid(&b)) << name;
+	}
+	for (std::string s :
+	     { std::string("X-A "), std::string("X-A\t"), std::string(" X-A"),
+	       std::string("X A"), std::string("X-A\0", 4), std::string("X(A)"),
+	       std::string("X\xc3\xa4"), std::string() }) {
+		struct bb_bytes b = bytes(s);
+
+		EXPECT_FALSE(bb_header_name_is_valid(&b)) << s;
+	}
 }
 
 // Guards against credentials or hop-by-hop headers that reach a backend server,
@@ -93,6 +116,15 @@
 		EXPECT_TRUE(bb_header_is_withheld(&b, &bb_dialect_default))
 			<< name;
 	}
+	// Servers that hand headers on as variables take "_" for "-".
+	for (const char *name :
+	     { "Client_Account", "PROXY_AUTHORIZATION", "transfer_encoding" }) {
+		std::string s = name;
+		struct bb_bytes b = bytes(s);
+
+		EXPECT_TRUE(bb_header_is_withheld(&b, &bb_dialect_default))
+			<< name;
+	}
 	for (const char *name : { "accept", "cookie", "content-type",
 				  "authorizations", "x-host", "" }) {
 		std::string s = name;
@@ -457,6 +489,23 @@
 	EXPECT_EQ(0u, submitted());
 }
 
+// Guards against a header that the node withholds or sets itself and that a
+// caller sends under a name which a lax backend server takes for it.
+TEST_F(Front, NamesThatAreNotTokensAreRefused)
+{
+	for (const char *line :
+	     { "Client-Account : account-2", "Client-Account\t: account-2",
+	       "Transfer-Encoding : chunked", "Content-Length : 9",
+	       "Host : elsewhere", "X(A): 1" })
+		EXPECT_EQ("400",
+			  ask("GET /book", KEY + line + "\r\n").substr(0, 3))
+			<< line;
+	EXPECT_EQ(0u, submitted());
+	EXPECT_EQ("200 ran", ask("GET /book", KEY + "X_B: 1\r\n"
+						    "Client_Account: a\r\n"));
+	EXPECT_EQ("X_B=1;", last().headers);
+}
+
 // Guards against unbounded memory for the headers, target or body of a request.
 TEST_F(Front, SizesAreBounded)
 {
