--- a/src/test_lib/test_connections.cc
+++ b/src/test_lib/test_connections.cc
@@ -182,15 +182,14 @@
 TEST(Connections, ClosesIdleOnesThatDidNotAnswerSince)
 {
 	Connections x;
-	struct bb_connection_use third, fifth, sixth;
+	struct bb_connection_use third, busy = {}, sixth;
 
 	x.used(1, 10, 20);
 	x.used(2, 10, 30);
 	third = x.used(3, 10, 40);
 	x.used(4, 10, 40, "b");
-	fifth = x.used(5, 10, 40);
-	fifth.serial = 0;
-	bb_connections_use(x.c, 5, &x, &fifth);
+	x.used(5, 10, 40);
+	bb_connections_use(x.c, 5, &x, &busy);
 	sixth = bb_connections_opened(x.c, 6, "a", &x, 110);
 	bb_connections_release(x.c, &sixth, &x);
 	bb_connections_answered(x.c, &third, "a", 120);
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -176,6 +176,16 @@
 	}
 };
 
+// Makes the close of a connection a reset, and ends the reads of
+// KeepingServer::run(), which closes it.
+void reset_connection(int fd)
+{
+	struct linger now = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	shutdown(fd, SHUT_RD);
+}
+
 void send_text(int fd, const std::string &text)
 {
 	send(fd, text.data(), text.size(), MSG_NOSIGNAL);
@@ -389,15 +399,10 @@
 	const std::string piece = "0123456789";
 	std::atomic<int> pieces{ 0 };
 	KeepingServer s([&](int fd, int connection, int request) {
-		struct linger now = { 1, 0 };
-
 		if (connection == 0 && request == 0) {
 			send_text(fd, answer("one", "1"));
 		} else if (connection == 0) {
-			// The close after this is a reset.
-			setsockopt(fd, SOL_SOCKET, SO_LINGER, &now,
-				   sizeof(now));
-			shutdown(fd, SHUT_RD);
+			reset_connection(fd);
 		} else if (connection == 1) {
 			send_text(fd, kOk + "Connection: close\r\n\r\n");
 			while (pieces < 8) {
@@ -436,16 +441,13 @@
 {
 	KeepingServer *server = nullptr;
 	KeepingServer s([&](int fd, int, int request) {
-		struct linger now = { 1, 0 };
-
 		if (request == 0) {
 			send_text(fd, answer("one", "1"));
 			return;
 		}
-		// Ends the listening socket, then resets the connection.
+		// No new connection is accepted from now on.
 		shutdown(server->fd, SHUT_RDWR);
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-		shutdown(fd, SHUT_RD);
+		reset_connection(fd);
 	});
 	Caller c;
 
--- a/src/test_lib/test_traffic.cc
+++ b/src/test_lib/test_traffic.cc
@@ -20,6 +20,9 @@
 // Upper limit of every wait; only reached when a test fails.
 const gint64 kWaitUs = 10000000;
 
+// Of this test alone, so that a port that was free stays so.
+const char kAddress[] = "127.77.0.1";
+
 uint16_t free_port()
 {
 	struct sockaddr_in a = {};
@@ -27,7 +30,7 @@
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	a.sin_family = AF_INET;
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	a.sin_addr.s_addr = inet_addr(kAddress);
 	EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, size));
 	EXPECT_EQ(0, getsockname(fd, (struct sockaddr *)&a, &size));
 	close(fd);
@@ -37,9 +40,8 @@
 std::string host_row(const std::string &name, uint16_t port)
 {
 	return "{\"name\":\"" + name +
-	       "\",\"region\":\"r\",\"zone\":\"za\",\"address\":\"127.0.0.1\","
-	       "\"data_port\":" +
-	       std::to_string(port) +
+	       "\",\"region\":\"r\",\"zone\":\"za\",\"address\":\"" + kAddress +
+	       "\",\"data_port\":" + std::to_string(port) +
 	       ",\"control_port\":" + std::to_string(name.size()) + "}";
 }
 
@@ -50,10 +52,10 @@
 	Peer(const char *name, uint16_t port)
 	{
 		struct bb_transport_options o = {};
-		struct bb_transport_peer to = { "node", "127.0.0.1", port,
+		struct bb_transport_peer to = { "node", kAddress, port,
 						nullptr };
 
-		o.address = "127.0.0.1";
+		o.address = kAddress;
 		o.name = name;
 		o.bytes_in_metric = BB_METRIC_PEER_BYTES_IN;
 		o.bytes_out_metric = BB_METRIC_PEER_BYTES_OUT;
@@ -122,7 +124,7 @@
 		s = bb_snapshots_get(snapshots);
 		o.incarnation = 1;
 		o.host = "node";
-		o.address = "127.0.0.1";
+		o.address = kAddress;
 		o.port = port;
 		o.settings = &settings;
 		if (t)
