Entry: a notice of a former process is not that of the next

Callers: a backend server that had started again under its name got no requests from a node until that node's next configuration.

Cause: the answer to a request that was sent before the start said Server-Leaving. bb_notices_get() found the record of the former start, which was right, but the path that take_notice() then marked is known by the backend server's name and was already that of the next start.

Change: the path is marked only while the configuration names the start that the request was sent to.

PlatformEntry.NoticeOfTheFormerProcessIsNotThatOfTheNext failed before: o2 was not among the backend servers that the entry side chooses.

--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -534,6 +534,16 @@
 		bb_balance_report(b, t->path, &r->load, bb_clock_now_us());
 }
 
+/* False if the backend server has started again under its name, or has left the
+ * configuration, since the current attempt was sent. */
+static bool has_same_start(const struct bb_attempts *t)
+{
+	const struct bb_config *c = t->entry->snapshot->config;
+
+	return t->backend != BB_NO_ROW &&
+	       c->backends[t->backend].started_ms == t->backend_started_ms;
+}
+
 /* The notice in an answer that is passed on. The adjacent side has taken that of
  * a local one. */
 static void take_notice(struct bb_attempts *t,
@@ -553,7 +563,7 @@
 		return;
 	n = e->o.dialect->decode_notice(m->headers, m->headers_nr);
 	bb_notices_take(r, &n, t->sent_us, now_us);
-	if (r->leaving && t->path)
+	if (r->leaving && t->path && has_same_start(t))
 		bb_path_set_leaving(t->path, true);
 }
 
