Health: what a former process did does not count for the next one

- the circuit breaker of the adjacent node stayed open, and a late failure of the former process opened it again, so that callers' requests were refused or sent elsewhere although the new process had a free slot;
- the health monitor counted late outcomes as evidence against the new process;
- an ejected backend server stayed ejected until the end of the hold-off.

--- a/include/baobabward/health.h
+++ b/include/baobabward/health.h
@@ -199,8 +199,9 @@
  * @c: configuration, used during the call only
  * @now_us: clock
  *
- * Backend servers beside this node keep their state by name. One whose
- * configured state was leaving or out and is in again starts with a ramp.
+ * Backend servers beside this node keep their state by name. One that has
+ * started again, by its @started_ms, counts as new, at most once in 30 s. One
+ * whose configured state was leaving or out and is in again starts with a ramp.
  */
 void bb_health_set_config(struct bb_health *h, const struct bb_config *c,
 			  int64_t now_us);
--- a/src/libhealth/health.c
+++ b/src/libhealth/health.c
@@ -242,6 +242,22 @@
 	b->reason[0] = '\0';
 }
 
+/* What is known of a former process does not hold for the one that has started
+ * under its name. */
+static struct bb_health_backend *
+start_again(struct bb_health *h, struct bb_health_backend *old, int64_t now_us)
+{
+	struct bb_health_backend *b = backend_new(old->name);
+
+	leave_service(h, old, now_us);
+	b->pool = old->pool;
+	b->in_service = old->in_service;
+	b->hold_off_us = old->hold_off_us;
+	b->restart_us = now_us;
+	backend_delete(old);
+	return b;
+}
+
 static void set_automation(struct bb_health *h, bool automation, int64_t now_us)
 {
 	if (h->automation == automation)
@@ -312,8 +328,12 @@
 		b = steal_backend(old_backends, row->name);
 		if (!b)
 			b = backend_new(row->name);
+		else if (b->started_ms != row->started_ms &&
+			 now_us - b->restart_us > RESTART_INTERVAL_US)
+			b = start_again(h, b, now_us);
 		else
 			keep_withheld(h, actions, b->handle, i);
+		b->started_ms = row->started_ms;
 		if (b->pool &&
 		    strcmp(b->pool->name, c->services[row->service].name) != 0)
 			leave_service(h, b, now_us);
--- a/src/libhealth/health_internal.h
+++ b/src/libhealth/health_internal.h
@@ -30,6 +30,11 @@
 #define BACK_OFF_RESET_US (5 * BB_US_PER_S)
 /* Failed connection attempts after which a success counts as a cold start. */
 #define RESTART_CONNECT_FAILURES 1
+/*
+ * A restart discards outcomes, and ends an ejection, at most once in this time:
+ * a backend server that starts again and again would never be ejected otherwise.
+ */
+#define RESTART_INTERVAL_US (30 * BB_US_PER_S)
 #define WITHHELD_ACTIONS_MAX 256
 /* Class of a finding in the merged outcomes of all route classes. */
 #define CLASS_MERGED BB_HEALTH_CLASSES
@@ -41,6 +46,7 @@
  */
 struct bb_health_backend {
 	char *name;
+	double started_ms; /* when it started, by the configuration */
 	uint32_t handle;
 	struct bb_pool *pool;
 	bool in_service; /* configured as in, on a host that is not leaving */
--- a/src/libhealth/observe.c
+++ b/src/libhealth/observe.c
@@ -34,8 +34,8 @@
 #define LONG_SUSPECT_US (30 * BB_US_PER_S)
 #define PROBE_TIMEOUT_US (2 * BB_US_PER_S)
 /*
- * Outcomes are discounted for dead connections, and for a restart, at most once
- * in this time.
+ * Outcomes are discounted for dead connections at most once in this time, and
+ * possible restarts are taken into account as rarely.
  */
 #define DISCOUNT_INTERVAL_US (30 * BB_US_PER_S)
 /*
@@ -71,10 +71,9 @@
 	}
 	if (bb_evidence_failed(o->kind))
 		return;
-	/* Without this bound a flapping server would never be ejected. */
 	if (b->connect_failures >= RESTART_CONNECT_FAILURES && h->automation &&
 	    b->state < BB_HEALTH_EJECTED &&
-	    now_us - b->restart_us > DISCOUNT_INTERVAL_US) {
+	    now_us - b->restart_us > RESTART_INTERVAL_US) {
 		b->restart_us = b->ramp_started_us = now_us;
 		bb_health_clear_evidence(b);
 		snprintf(b->reason, sizeof(b->reason),
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -266,6 +266,7 @@
 		return;
 	o = g_new0(struct bb_observation, 1);
 	o->backend = g_strdup(job->backend->name);
+	o->started_ms = job->backend_started_ms;
 	o->outcome.class_id = (uint32_t)(XXH3_64bits(route->data, route->size) %
 					 BB_HEALTH_ROUTE_CLASSES);
 	/* 31 bits, since all 32 bits set mean that there is no account. */
@@ -292,6 +293,13 @@
 			     bb_breaker_open_us(b, now_us) / BB_US_PER_MS);
 }
 
+/* False if the backend server has started again under its name since the request
+ * was sent; what became of the request then says nothing of the new process. */
+static bool is_of_present_start(const struct bb_job *job)
+{
+	return job->backend_started_ms == job->backend->started_ms;
+}
+
 /* Ignores outcomes that do not show whether the backend server works. */
 static void update_breaker(struct bb_job *job, enum bb_outcome_kind kind,
 			   int64_t now_us)
@@ -382,8 +390,7 @@
 	int64_t now_us = bb_clock_now_us();
 	struct bb_notice_record *r = bb_adjacent_record(b, now_us);
 
-	/* It may have started again since the request was sent. */
-	if (!r || r->started_ms != job->backend_started_ms)
+	if (!r || !is_of_present_start(job))
 		return;
 	bb_metrics_add(BB_METRIC_NOTICES_UNREADABLE, n->unreadable);
 	r->answered = true;
@@ -407,7 +414,8 @@
 			   job->started_us - job->queue_entry.pushed_us);
 	count_connection(job, r->end == BB_EXECUTION_DONE, r->new_connection);
 	count_closed_idle(b, r->closed_idle);
-	update_breaker(job, outcome_kind(r), bb_clock_now_us());
+	if (is_of_present_start(job))
+		update_breaker(job, outcome_kind(r), bb_clock_now_us());
 	if (r->end == BB_EXECUTION_FOREIGN)
 		bb_metrics_add(BB_METRIC_FOREIGN_ANSWERS, 1);
 	if (r->end == BB_EXECUTION_DONE || r->end == BB_EXECUTION_REFUSED)
@@ -751,7 +759,8 @@
 	       g_hash_table_iter_next(&i, NULL, &value)) {
 		const struct bb_job *job = value;
 
-		if (job->backend != b || !job->execution)
+		if (job->backend != b || !job->execution ||
+		    !is_of_present_start(job))
 			continue;
 		ages_us[nr] = now_us - job->started_us;
 		oldest_us = MAX(oldest_us, ages_us[nr]);
--- a/src/libnode/control.h
+++ b/src/libnode/control.h
@@ -147,11 +147,14 @@
 /**
  * struct bb_observation - outcome of a request to a backend server.
  * @backend: name of the backend server
+ * @started_ms: when the process started to which the request was sent, by the
+ *		configuration
  * @outcome: outcome; the control thread fills in the handle of the backend
  *	     server
  */
 struct bb_observation {
 	char *backend;
+	double started_ms;
 	struct bb_health_outcome outcome;
 };
 
--- a/src/libnode/health_monitor.c
+++ b/src/libnode/health_monitor.c
@@ -44,6 +44,7 @@
 struct probe {
 	struct bb_health_monitor *monitor;
 	char *backend;
+	double started_ms;
 };
 
 static void free_probe(void *data)
@@ -115,7 +116,11 @@
 {
 	o->outcome.backend = bb_config_find_backend(config(hm), o->backend,
 						    strlen(o->backend));
-	if (o->outcome.backend != BB_NO_ROW)
+	/* The outcome of a request to a former process says nothing of the next
+	 * one. */
+	if (o->outcome.backend != BB_NO_ROW &&
+	    config(hm)->backends[o->outcome.backend].started_ms ==
+		    o->started_ms)
 		bb_health_observe(hm->health, &o->outcome, now_us);
 	g_free(o->backend);
 	g_free(o);
@@ -143,6 +148,7 @@
 	struct bb_observation *o = g_new0(struct bb_observation, 1);
 
 	o->backend = g_strdup(p->backend);
+	o->started_ms = p->started_ms;
 	o->outcome.class_id = BB_HEALTH_CLASS_PROBE;
 	o->outcome.account = BB_HEALTH_NO_ACCOUNT;
 	o->outcome.kind = probe_kind(r);
@@ -169,6 +175,7 @@
 
 	p->monitor = hm;
 	p->backend = g_strdup(b->name);
+	p->started_ms = b->started_ms;
 	if (bb_executor_start(hm->executor, &r, on_probed, p, &err))
 		g_hash_table_add(hm->probes, p);
 	else
--- a/src/test_lib/test_health.cc
+++ b/src/test_lib/test_health.cc
@@ -124,6 +124,27 @@
 		}
 }
 
+// Guards against a backend server that has started again and stays ejected for
+// what its former process did, and against one that is never ejected because it
+// starts again and again.
+TEST(Health, StartUnderTheSameNameCountsAsNew)
+{
+	Pool p(5, 5, 7);
+
+	p.run(40);
+	p.begin(FAULT_DEAD);
+	ASSERT_TRUE(p.reach(BB_HEALTH_EJECTED, 40));
+	p.m->backends[0].started_ms = 1;
+	model_set_config(p.m.get());
+	EXPECT_EQ(BB_HEALTH_OK, p.state());
+	EXPECT_FALSE(p.m->nodes[0].permit);
+	EXPECT_EQ(1, p.weight());
+	ASSERT_TRUE(p.reach(BB_HEALTH_EJECTED, 25));
+	p.m->backends[0].started_ms = 2;
+	model_set_config(p.m.get());
+	EXPECT_EQ(BB_HEALTH_EJECTED, p.state());
+}
+
 // Guards against ejections for causes outside a single backend server: one
 // account's requests, the pool, a zone, load shedding, dead connections.
 TEST(Health, NoEjectionForOtherCauses)
