Directory: a cut watch is no outage in which entries expire

Cause: one failed read of the store counted as an outage, after which every entry that is missing is kept for 2.2 s, in which backend servers whose entries expired register again. A watch may be cut at any time, and nothing expires then.

Change: an entry expires after three heartbeats without a write, so that it outlives an outage in which fewer than two fail. An outage shorter than that keeps nothing. Its time counts from the last answer, or from the beginning of a watch that the store held until the connection broke; outages with less than a heartbeat between them count as one.

--- a/include/baobabward/directory.h
+++ b/include/baobabward/directory.h
@@ -9,7 +9,8 @@
  * While the registry is down, all entries remain. Entries may expire in that
  * time although their backend servers run, so that entries that are missing
  * after an outage are dropped only once their backend servers have had time to
- * register again.
+ * register again. An outage in which no entry can have expired, such as a cut
+ * connection, keeps nothing: an entry outlives two heartbeats that fail.
  *
  * The registry may be restored from an older copy. A backend server that was
  * leaving stays so until it starts again, whatever the copy says, and one whose
@@ -67,6 +68,9 @@
  * struct bb_directory_options - options; 0 selects the default.
  * @self_address: IP address of this host, always listed
  * @self_zone: its availability zone
+ * @heartbeat_us: interval at which backend servers write their entries, which
+ *                expire after three without a write; 0 if unknown, so that
+ *                entries may expire in any outage
  * @reregistration_us: time after an outage of the registry in which entries may
  *                     be missing although their backend servers run (2.2 s)
  * @host_retention_us: time for which a host without an entry stays listed
@@ -75,6 +79,7 @@
 struct bb_directory_options {
 	const char *self_address;
 	const char *self_zone;
+	int64_t heartbeat_us;
 	int64_t reregistration_us;
 	int64_t host_retention_us;
 };
@@ -120,8 +125,11 @@
 
 /**
  * bb_directory_registry_down() - report that the registry does not answer.
+ * @d: directory
+ * @since_us: time since which it may not have taken the writes of backend
+ *            servers
  */
-void bb_directory_registry_down(struct bb_directory *d);
+void bb_directory_registry_down(struct bb_directory *d, int64_t since_us);
 
 /**
  * bb_directory_registry_up() - report that the registry answers; a complete
--- a/src/libmember/directory.c
+++ b/src/libmember/directory.c
@@ -2,9 +2,9 @@
  * Directory of discovered backend servers.
  *
  * A missing entry gets a time at which it is dropped: the present time or,
- * after an outage of the registry, the time by which its backend server must
- * have registered again. bb_directory_tick() drops what is due, and drops
- * nothing while the registry is down.
+ * after an outage of the registry in which it may have expired, the time by
+ * which its backend server must have registered again. bb_directory_tick() drops
+ * what is due, and drops nothing while the registry is down.
  *
  * A registry that was restored from an older copy has entries of backend servers
  * that have left since, and has those as ready that were leaving. What was known
@@ -22,6 +22,9 @@
  * reachable again.
  */
 #define DEFAULT_REREGISTRATION_US (2200 * BB_US_PER_MS)
+/* Heartbeats that must fail for an entry to expire: one more is written just
+ * before an outage at the earliest. */
+#define EXPIRY_HEARTBEATS 2
 /* Longer than a host has no entry while its backend server restarts. */
 #define DEFAULT_HOST_RETENTION_US (60 * BB_US_PER_S)
 
@@ -71,7 +74,10 @@
  * @items: struct item by id
  * @hosts: struct host by address
  * @departures: struct departure by id
- * @registry_up_us: when the registry was last reachable again
+ * @registry_up_us: when the registry was last reachable again after an outage
+ *                  in which entries may have expired
+ * @answers_since_us: when it was last reachable again
+ * @down_since_us: since when it may not have taken the writes of backend servers
  * @restored_us: when the registry was last restored from a copy
  * @now_us: time of the last tick while the registry was not down
  * @registry_down: the registry does not answer
@@ -85,6 +91,8 @@
 	GTree *hosts;
 	GHashTable *departures;
 	int64_t registry_up_us;
+	int64_t answers_since_us;
+	int64_t down_since_us;
 	int64_t restored_us;
 	int64_t now_us;
 	bool registry_down;
@@ -133,6 +141,7 @@
 	d->departures =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->registry_up_us = INT64_MIN / 2;
+	d->answers_since_us = INT64_MIN / 2;
 	d->restored_us = INT64_MIN / 2;
 	d->changed = true;
 	return d;
@@ -307,8 +316,13 @@
 	g_tree_foreach(d->items, schedule_drop_unlisted, &drop_us);
 }
 
-void bb_directory_registry_down(struct bb_directory *d)
+/* A backend server may have written nothing in a shorter time between two
+ * outages, which then count as one. */
+void bb_directory_registry_down(struct bb_directory *d, int64_t since_us)
 {
+	if (!d->registry_down &&
+	    since_us - d->answers_since_us >= d->o.heartbeat_us)
+		d->down_since_us = since_us;
 	d->registry_down = true;
 }
 
@@ -321,9 +335,14 @@
 
 void bb_directory_registry_up(struct bb_directory *d, int64_t now_us)
 {
-	if (d->registry_down)
-		d->registry_up_us = now_us;
+	int64_t expiry_us = EXPIRY_HEARTBEATS * d->o.heartbeat_us;
+
+	if (!d->registry_down)
+		return;
 	d->registry_down = false;
+	d->answers_since_us = now_us;
+	if (now_us - d->down_since_us >= expiry_us)
+		d->registry_up_us = now_us;
 }
 
 /**
--- a/src/test_lib/test_directory.cc
+++ b/src/test_lib/test_directory.cc
@@ -17,10 +17,12 @@
 	int64_t now = 100 * kSecond;
 	struct bb_directory *d;
 
-	Directory()
+	explicit Directory(int64_t heartbeat_us = 0)
 	{
 		struct bb_directory_options o = {};
 
+		o.heartbeat_us = heartbeat_us;
+
 		o.self_address = "10.0.0.1";
 		o.self_zone = "za";
 		d = bb_directory_new(&o);
@@ -58,6 +60,16 @@
 		g_free(e);
 		return s;
 	}
+	// The registry does not answer for some time, after which "a" is missing.
+	void lose_a_in_outage(int64_t time_us)
+	{
+		put("a", "10.0.0.2");
+		bb_directory_registry_down(d, now);
+		now += time_us;
+		names();
+		bb_directory_registry_up(d, now);
+		bb_directory_remove(d, "a", now);
+	}
 	std::string hosts()
 	{
 		std::string s;
@@ -100,7 +112,7 @@
 
 	x.put("a", "10.0.0.2");
 	x.put("b", "10.0.0.3");
-	bb_directory_registry_down(x.d);
+	bb_directory_registry_down(x.d, x.now);
 	x.now += 600 * kSecond;
 	EXPECT_EQ("a b", x.names());
 	EXPECT_EQ("10.0.0.1 10.0.0.2 10.0.0.3", x.hosts());
@@ -119,6 +131,38 @@
 	EXPECT_EQ("", x.names());
 }
 
+// Guards against requests to a backend server whose entry was removed after an
+// outage that was too short for an entry to expire, and against dropping those
+// that may have expired: in one long outage, or in short ones between which no
+// heartbeat need have arrived.
+TEST(Directory, OnlyEntriesThatMayHaveExpiredAreKept)
+{
+	const int64_t heartbeat = 3 * kSecond / 2;
+	Directory x(heartbeat);
+
+	x.lose_a_in_outage(kSecond / 4);
+	EXPECT_EQ("", x.names());
+	x.now += 10 * kSecond;
+	x.lose_a_in_outage(2 * heartbeat - 1);
+	EXPECT_EQ("", x.names());
+	x.now += 10 * kSecond;
+	x.lose_a_in_outage(2 * heartbeat);
+	EXPECT_EQ("a", x.names());
+	// A short outage does not end the time to register again.
+	bb_directory_registry_down(x.d, x.now);
+	x.now += kSecond / 4;
+	bb_directory_registry_up(x.d, x.now);
+	EXPECT_EQ("a", x.names());
+	x.now += 2 * kSecond;
+	EXPECT_EQ("", x.names());
+	x.now += 10 * kSecond;
+	x.lose_a_in_outage(heartbeat);
+	EXPECT_EQ("", x.names());
+	x.now += heartbeat - 1;
+	x.lose_a_in_outage(heartbeat);
+	EXPECT_EQ("a", x.names());
+}
+
 // Guards against a delayed write of a former process that replaces the entry of
 // the present one, and against a restart with the same id that has no effect.
 TEST(Directory, LaterStartWins)
