Node: a draining node serves other nodes while its callers keep it from ending

Cause: a node that stops refused requests of other nodes at once, although it ran on for 2.2 s, mostly for connections that nobody used.

Change: other nodes are told, and refused, a second after the signal (at most a fifth of the grace period), or at once where no caller has a connection. What is accepted until then ends within the grace period as before.

--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -56,9 +56,16 @@
  */
 #define DRAIN_REFUSE_PERCENT 50
 /*
- * Minimum duration of a drain. Requests that other nodes sent before the notice
- * of the stop reached them still arrive and are refused as "not run". If the
- * process had ended by then, their outcome would be unknown.
+ * While callers keep a draining node from ending, its backend servers go on
+ * getting requests, for this time and part of the grace period: without a node
+ * beside them they get none until it has started again.
+ */
+#define DRAIN_SERVE_PEERS_US (1 * BB_US_PER_S)
+#define DRAIN_SERVE_PEERS_PERCENT 20
+/*
+ * Minimum time from the notice of the stop to other nodes to the end. Requests
+ * that they sent before it reached them still arrive and are refused as "not
+ * run". If the process had ended by then, their outcome would be unknown.
  */
 #define DRAIN_MIN_US (200 * BB_US_PER_MS)
 
@@ -85,6 +92,7 @@
  * @drain_timer: checks whether the drain is complete
  * @signals: SIGTERM, SIGINT and SIGHUP, while the loop runs
  * @drain_started_us: time when the drain began
+ * @peers_told_us: time when other nodes were told of the stop, 0 before
  * @start_scheduled: @start_timer was set once
  * @interrupted: the shutdown was cut short
  * @backlog: the drain accepted connections that waited in the backlog
@@ -112,6 +120,7 @@
 	GSource *drain_timer;
 	struct bb_signals *signals;
 	int64_t drain_started_us;
+	int64_t peers_told_us;
 	bool start_scheduled;
 	bool interrupted;
 	bool backlog;
@@ -466,10 +475,25 @@
 	return start_admin(n, err);
 }
 
+/* Ends the service for other nodes once the drain has lasted long enough, or no
+ * caller delays the end. */
+static void drain_peers(struct bb_node *n, int64_t now_us)
+{
+	int64_t serve_us = MIN(DRAIN_SERVE_PEERS_US,
+			       n->settings->grace_ms * BB_US_PER_MS *
+				       DRAIN_SERVE_PEERS_PERCENT / 100);
+
+	if (n->peers_told_us || (bb_front_connections(n->front) &&
+				 now_us - n->drain_started_us < serve_us))
+		return;
+	n->peers_told_us = now_us;
+	bb_traffic_drain(n->traffic);
+}
+
 static bool drain_is_complete(struct bb_node *n, int64_t now_us)
 {
-	if (now_us - n->drain_started_us <
-	    (n->backlog ? DRAIN_LINGER_US : DRAIN_MIN_US))
+	if (!n->peers_told_us || now_us - n->peers_told_us < DRAIN_MIN_US ||
+	    (n->backlog && now_us - n->drain_started_us < DRAIN_LINGER_US))
 		return false;
 	if (bb_front_requests(n->front) || bb_traffic_in_progress(n->traffic))
 		return false;
@@ -487,6 +511,7 @@
 	int64_t now_us = bb_clock_now_us();
 	int64_t grace_us = n->settings->grace_ms * BB_US_PER_MS;
 
+	drain_peers(n, now_us);
 	if (drain_is_complete(n, now_us)) {
 		g_main_loop_quit(n->loop);
 		return G_SOURCE_CONTINUE;
@@ -515,7 +540,7 @@
 	n->drain_started_us = bb_clock_now_us();
 	ck_pr_store_uint(&n->state, BB_NODE_DRAINING);
 	n->backlog = bb_front_drain(n->front);
-	bb_traffic_drain(n->traffic);
+	drain_peers(n, n->drain_started_us);
 	n->drain_timer =
 		bb_loop_add_timeout(n->context, POLL_US, on_drain_poll, n);
 }
