Directory: a start with an earlier time of day takes effect

Cause: two starts under one id were ordered by the time of day that each backend server gives. After its clock was set back, the entry of the new process had the earlier start and was ignored for good, so that it could not be seen to leave; bb_notices_get() and bb_notices_is_leaving() compared starts the same way.

Change: the registry's last write wins. What a backend server said in its answers is kept by name and start, without an order.

Beside it: of several entries with one address the one that started last was chosen before the service was looked at, so that a registration of an unknown service hid the backend server there. Entries are chosen among those of known services now.

--- a/include/baobabward/directory.h
+++ b/include/baobabward/directory.h
@@ -41,8 +41,8 @@
  * @address: IP address of its host
  * @slots: requests that it runs concurrently
  * @leaving: it is not given new requests
- * @started_ms: wall time at which it started, as reported by itself; of two
- *              entries with one id or address, the later start wins
+ * @started_ms: wall time at which it started, as reported by itself; tells its
+ *              starts apart. Of two ids with one address, the later start wins.
  */
 struct bb_directory_entry {
 	char *id;
@@ -98,8 +98,11 @@
  * @e: entry; copied
  * @now_us: current time
  *
- * Ignored if an entry with the same id and a later start is known: then this is
- * a delayed write of the former process.
+ * If an entry with the same id and a later start is known, this one is in doubt:
+ * it may be a delayed write of the former process, or the present process may
+ * have started after the clock of its host was set back. It takes effect some
+ * seconds later unless the known one is written again. Until then the backend
+ * server counts as leaving if either of them says so.
  */
 void bb_directory_put(struct bb_directory *d,
 		      const struct bb_directory_entry *e, int64_t now_us);
@@ -152,19 +155,31 @@
  */
 bool bb_directory_tick(struct bb_directory *d, int64_t now_us);
 
+/**
+ * struct bb_directory_filter - chooses entries.
+ * @accepts: whether an entry is listed
+ * @data: passed to @accepts
+ */
+struct bb_directory_filter {
+	bool (*accepts)(void *data, const struct bb_directory_entry *e);
+	void *data;
+};
+
 /**
  * bb_directory_entries() - list backend servers in order of their ids.
  * @d: directory
+ * @filter: entries to list, NULL for all
  * @nr: set to the number
  *
- * Of several entries with one address only the one that started last is
+ * Of several such entries with one address only the one that started last is
  * returned.
  *
  * Return: array that the caller frees with g_free(); its elements stay valid
  * until the next call of another function.
  */
-const struct bb_directory_entry **bb_directory_entries(struct bb_directory *d,
-						       size_t *nr);
+const struct bb_directory_entry **
+bb_directory_entries(struct bb_directory *d,
+		     const struct bb_directory_filter *filter, size_t *nr);
 
 /**
  * bb_directory_hosts() - list hosts in order of their addresses.
--- a/src/libmember/directory.c
+++ b/src/libmember/directory.c
@@ -6,6 +6,13 @@
  * which its backend server must have registered again. bb_directory_tick() drops
  * what is due, and drops nothing while the registry is down.
  *
+ * Two starts under one id are told apart by the time of day that each backend
+ * server gives, whose order does not prove which one is the later: the clock may
+ * have been set back between them. The last write wins, but one with an earlier
+ * start is in doubt at first, since it may be a delayed write of the former
+ * process. The present process then writes its entry again with its next
+ * heartbeat.
+ *
  * A registry that was restored from an older copy has entries of backend servers
  * that have left since, and has those as ready that were leaving. What was known
  * of their leaving is therefore kept for some time by id and start.
@@ -28,6 +35,11 @@
 /* Longer than a host has no entry while its backend server restarts. */
 #define DEFAULT_HOST_RETENTION_US (60 * BB_US_PER_S)
 
+/* Longest delay of a write: time in which a write of an earlier start is in
+ * doubt where the known one is leaving, so that it would put a backend server
+ * back into use. */
+#define LATE_WRITE_US (8 * BB_US_PER_S)
+
 /* Longer than a backend server takes to leave, and than a copy is old. */
 #define DEPARTURE_RETENTION_US (600 * BB_US_PER_S)
 
@@ -38,12 +50,19 @@
  * @drop_us: time at which the missing entry is dropped, INT64_MAX if present
  * @usable_us: time from which it is in use, 0 for always; for an entry that was
  *             removed and that a restored registry still has
+ * @doubted: entry of an earlier start that was written after @entry; its strings
+ *           are owned, @doubted.id is NULL if there is none
+ * @doubted_until_us: time at which it takes the place of @entry
+ * @former_ms: start whose place @entry took, 0 if none is known
  */
 struct item {
 	struct bb_directory_entry entry;
 	bool listed;
 	int64_t drop_us;
 	int64_t usable_us;
+	struct bb_directory_entry doubted;
+	int64_t doubted_until_us;
+	int64_t former_ms;
 };
 
 /**
@@ -99,14 +118,32 @@
 	bool changed;
 };
 
+static void entry_clear(struct bb_directory_entry *e)
+{
+	g_free(e->id);
+	g_free(e->service);
+	g_free(e->zone);
+	g_free(e->address);
+	*e = (struct bb_directory_entry){ 0 };
+}
+
+static struct bb_directory_entry entry_copy(const struct bb_directory_entry *e)
+{
+	struct bb_directory_entry copy = *e;
+
+	copy.id = g_strdup(e->id);
+	copy.service = g_strdup(e->service);
+	copy.zone = g_strdup(e->zone);
+	copy.address = g_strdup(e->address);
+	return copy;
+}
+
 static void item_delete(gpointer data)
 {
 	struct item *i = data;
 
-	g_free(i->entry.id);
-	g_free(i->entry.service);
-	g_free(i->entry.zone);
-	g_free(i->entry.address);
+	entry_clear(&i->entry);
+	entry_clear(&i->doubted);
 	g_free(i);
 }
 
@@ -228,19 +265,40 @@
 	return x && now_us < rewritten_us ? rewritten_us : 0;
 }
 
-void bb_directory_put(struct bb_directory *d,
+/*
+ * Notes a write of an earlier start. If it says that the backend server is
+ * leaving, that holds at once, unless it comes from the start before, which may
+ * have been leaving itself.
+ */
+static void doubt_entry(struct bb_directory *d, struct item *i,
+			const struct bb_directory_entry *e, int64_t now_us)
+{
+	if (!i->doubted.id || i->doubted.started_ms != e->started_ms)
+		i->doubted_until_us = now_us + (i->entry.leaving ?
+							LATE_WRITE_US :
+							d->o.reregistration_us);
+	entry_clear(&i->doubted);
+	i->doubted = entry_copy(e);
+	if (!e->leaving || i->entry.leaving || e->started_ms == i->former_ms)
+		return;
+	i->entry.leaving = true;
+	d->changed = true;
+}
+
+static void put_entry(struct bb_directory *d,
 		      const struct bb_directory_entry *written, int64_t now_us)
 {
 	struct item *i = g_tree_lookup(d->items, written->id);
 	struct bb_directory_entry entry = *written;
 	const struct bb_directory_entry *e = &entry;
+	int64_t former_ms = 0;
 	const struct departure *x;
 	int64_t usable_us;
 
-	if (i && i->entry.started_ms > e->started_ms) {
-		i->listed = true;
-		return;
-	}
+	if (i)
+		former_ms = i->entry.started_ms == e->started_ms ?
+				    i->former_ms :
+				    i->entry.started_ms;
 	x = find_departure(d, e);
 	entry.leaving = e->leaving || (x && x->leaving);
 	update_host(d, e, now_us);
@@ -254,17 +312,30 @@
 	usable_us = usable_time(d, i, x, now_us);
 	i = g_new0(struct item, 1);
 	i->usable_us = usable_us;
-	i->entry = *e;
-	i->entry.id = g_strdup(e->id);
-	i->entry.service = g_strdup(e->service);
-	i->entry.zone = g_strdup(e->zone);
-	i->entry.address = g_strdup(e->address);
+	i->entry = entry_copy(e);
+	i->former_ms = former_ms;
 	i->listed = true;
 	i->drop_us = INT64_MAX;
 	g_tree_replace(d->items, i->entry.id, i);
 	d->changed = true;
 }
 
+void bb_directory_put(struct bb_directory *d,
+		      const struct bb_directory_entry *e, int64_t now_us)
+{
+	struct item *i = g_tree_lookup(d->items, e->id);
+
+	if (i && i->entry.started_ms > e->started_ms) {
+		i->listed = true;
+		i->drop_us = INT64_MAX;
+		doubt_entry(d, i, e, now_us);
+		return;
+	}
+	if (i)
+		entry_clear(&i->doubted);
+	put_entry(d, e, now_us);
+}
+
 /*
  * When an entry that is missing now is dropped. Entries may expire while the
  * registry is down; their backend servers register again soon after.
@@ -278,8 +349,10 @@
 {
 	struct item *i = g_tree_lookup(d->items, id);
 
-	if (i)
-		i->drop_us = MIN(i->drop_us, drop_time(d, now_us));
+	if (!i)
+		return;
+	entry_clear(&i->doubted);
+	i->drop_us = MIN(i->drop_us, drop_time(d, now_us));
 }
 
 static gboolean clear_listed(gpointer key, gpointer value, gpointer data)
@@ -395,6 +468,34 @@
 	g_ptr_array_free(s->due_keys, TRUE);
 }
 
+static gboolean collect_undoubted(gpointer key, gpointer value, gpointer data)
+{
+	struct sweep *s = data;
+	const struct item *i = value;
+
+	if (i->doubted.id && s->now_us >= i->doubted_until_us)
+		g_ptr_array_add(s->due_keys, key);
+	return FALSE;
+}
+
+/* Puts the entries in force that were in doubt for long enough. */
+static void end_doubts(struct sweep *s)
+{
+	GTree *items = s->directory->items;
+
+	s->due_keys = g_ptr_array_new();
+	g_tree_foreach(items, collect_undoubted, s);
+	for (guint n = 0; n < s->due_keys->len; n++) {
+		struct item *i = g_tree_lookup(items, s->due_keys->pdata[n]);
+		struct bb_directory_entry e = i->doubted;
+
+		i->doubted = (struct bb_directory_entry){ 0 };
+		put_entry(s->directory, &e, s->now_us);
+		entry_clear(&e);
+	}
+	g_ptr_array_free(s->due_keys, TRUE);
+}
+
 static gboolean is_old_departure(gpointer key, gpointer value, gpointer data)
 {
 	const struct departure *x = value;
@@ -411,6 +512,7 @@
 
 	/* While the registry is down, a missing entry proves nothing. */
 	if (!d->registry_down) {
+		end_doubts(&s);
 		remove_due(&s, d->items, collect_due_item);
 		remove_due(&s, d->hosts, collect_due_host);
 		g_hash_table_foreach_remove(d->departures, is_old_departure,
@@ -426,11 +528,13 @@
  * struct entry_list - construction of the result of bb_directory_entries().
  * @by_address: the item in use that started last at each address
  * @entries: their entries in order of ids
+ * @filter: of bb_directory_entries()
  * @now_us: as in struct bb_directory
  */
 struct entry_list {
 	GHashTable *by_address;
 	GPtrArray *entries;
+	const struct bb_directory_filter *filter;
 	int64_t now_us;
 };
 
@@ -442,7 +546,8 @@
 		g_hash_table_lookup(l->by_address, i->entry.address);
 
 	(void)key;
-	if (i->usable_us > l->now_us)
+	if (i->usable_us > l->now_us ||
+	    (l->filter && !l->filter->accepts(l->filter->data, &i->entry)))
 		return FALSE;
 	if (!other || other->entry.started_ms < i->entry.started_ms)
 		g_hash_table_replace(l->by_address, i->entry.address, value);
@@ -460,11 +565,12 @@
 	return FALSE;
 }
 
-const struct bb_directory_entry **bb_directory_entries(struct bb_directory *d,
-						       size_t *nr)
+const struct bb_directory_entry **
+bb_directory_entries(struct bb_directory *d,
+		     const struct bb_directory_filter *filter, size_t *nr)
 {
 	struct entry_list l = { g_hash_table_new(g_str_hash, g_str_equal),
-				g_ptr_array_new(), d->now_us };
+				g_ptr_array_new(), filter, d->now_us };
 
 	g_tree_foreach(d->items, index_latest, &l);
 	g_tree_foreach(d->items, list_latest, &l);
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -559,8 +559,6 @@
 		return;
 	r = bb_notices_get(e->o.notices, t->call->backend,
 			   t->backend_started_ms, now_us);
-	if (!r)
-		return;
 	n = e->o.dialect->decode_notice(m->headers, m->headers_nr);
 	bb_notices_take(r, &n, t->sent_us, now_us);
 	if (r->leaving && t->path && has_same_start(t))
--- a/src/libnode/notices.c
+++ b/src/libnode/notices.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/wire.h"
 
 /*
  * Time without use after which a record is dropped: longer than a backend
@@ -14,7 +15,8 @@
 #define SWEEP_INTERVAL_US (60 * BB_US_PER_S)
 
 /**
- * struct bb_notices - records by name of the backend server.
+ * struct bb_notices - what backend servers said.
+ * @records: records by name and start of the backend server, as in write_key()
  * @next_sweep_us: when unused records are next dropped
  */
 struct bb_notices {
@@ -22,6 +24,29 @@
 	int64_t next_sweep_us;
 };
 
+/* Size of a start of up to BB_BACKEND_STARTED_MS_MAX as text, with a space. */
+#define START_TEXT_SIZE 20
+
+struct key {
+	char text[BB_NAME_MAX + START_TEXT_SIZE];
+};
+
+static const char *write_key(struct key *k, const char *backend,
+			     double started_ms)
+{
+	g_snprintf(k->text, sizeof(k->text), "%.0f %s", started_ms, backend);
+	return k->text;
+}
+
+static struct bb_notice_record *
+find_record(const struct bb_notices *n, const char *backend, double started_ms)
+{
+	struct key k;
+
+	return g_hash_table_lookup(n->records,
+				   write_key(&k, backend, started_ms));
+}
+
 struct bb_notices *bb_notices_new(void)
 {
 	struct bb_notices *n = g_new0(struct bb_notices, 1);
@@ -61,19 +86,16 @@
 					int64_t now_us)
 {
 	struct bb_notice_record *r;
+	struct key k;
 
 	drop_unused(n, now_us);
-	r = g_hash_table_lookup(n->records, backend);
-	if (r && started_ms < r->started_ms)
-		return NULL;
+	r = find_record(n, backend, started_ms);
 	if (!r) {
 		r = g_new0(struct bb_notice_record, 1);
-		g_hash_table_insert(n->records, g_strdup(backend), r);
-		r->started_ms = started_ms;
 		r->limit_per_s = -1;
-	} else if (started_ms > r->started_ms) {
-		*r = (struct bb_notice_record){ .started_ms = started_ms,
-						.limit_per_s = -1 };
+		g_hash_table_insert(
+			n->records,
+			g_strdup(write_key(&k, backend, started_ms)), r);
 	}
 	r->used_us = now_us;
 	return r;
@@ -110,19 +132,15 @@
 double bb_notices_limit(const struct bb_notices *n, const char *backend,
 			double started_ms)
 {
-	const struct bb_notice_record *r =
-		g_hash_table_lookup(n->records, backend);
+	const struct bb_notice_record *r = find_record(n, backend, started_ms);
 
-	return r && r->started_ms == started_ms ? r->limit_per_s : -1;
+	return r ? r->limit_per_s : -1;
 }
 
-/* A start before the recorded one is that of a former process, which has left.
- */
 bool bb_notices_is_leaving(const struct bb_notices *n, const char *backend,
 			   double started_ms)
 {
-	const struct bb_notice_record *r =
-		g_hash_table_lookup(n->records, backend);
+	const struct bb_notice_record *r = find_record(n, backend, started_ms);
 
-	return r && r->leaving && started_ms <= r->started_ms;
+	return r && r->leaving;
 }
--- a/src/libnode/notices.h
+++ b/src/libnode/notices.h
@@ -3,7 +3,8 @@
  *
  * Kept apart from the configuration: an entry that leaves the registry and
  * returns is still the same backend server, and what it said still holds. A
- * backend server that starts again under its name has said nothing yet.
+ * backend server that starts again under its name has said nothing yet; its
+ * starts are told apart, and not ordered, by the time of day that it gives.
  *
  * Used by the traffic thread only.
  */
@@ -16,17 +17,15 @@
 #include "baobabward/notice.h"
 
 /**
- * struct bb_notice_record - what one backend server said.
- * @started_ms: wall time at which it started, 0 if unknown
+ * struct bb_notice_record - what one backend server said since one start.
  * @last: notice in its last answer
- * @leaving: it said that it is leaving; holds until it starts again
+ * @leaving: it said that it is leaving
  * @limit_per_s: requests per second that it accepts, negative for no limit
  * @limit_named_us: when an answer last named a limit
  * @answered: it answered a request of this node, its adjacent node
  * @used_us: when the record was last looked up
  */
 struct bb_notice_record {
-	double started_ms;
 	struct bb_notice last;
 	bool leaving;
 	double limit_per_s;
@@ -47,8 +46,7 @@
  * @started_ms: when it started, 0 if unknown
  * @now_us: current time
  *
- * Return: record, valid until the next call, or NULL if the backend server has
- * started again since @started_ms.
+ * Return: record of that start, valid until the next call; never NULL.
  */
 struct bb_notice_record *bb_notices_get(struct bb_notices *n,
 					const char *backend, double started_ms,
