Config: paths and prefixes are compared in normal form

Cause: is_path_prefix() refused any '%'. "Every prefix begins and ends with a slash" does not exclude it, and percent-encoding is how HTTP spells such a path.

Change: a '%' that begins an encoded byte is taken. Paths and prefixes are compared in the normal form of RFC 3986, 6.2.2: unreserved characters decoded, other digits in upper case, no dot segments. The path is passed on as it was sent. Before, a caller could avoid a route by writing /%62ook or /x/../book, which fell to a shorter prefix, and a backend server that normalizes paths would have served it.

Failed before: Config.PathsAreComparedInNormalForm (the prefix is refused).

--- a/src/libconfig/config_columns.c
+++ b/src/libconfig/config_columns.c
@@ -10,6 +10,7 @@
 
 #include "baobabward/keys.h"
 #include "baobabward/wire.h"
+#include "uri_path.h"
 
 const char *const bb_backend_state_string[] = { "in", "leaving", "out" };
 
@@ -281,16 +282,17 @@
 	return inet_pton(AF_INET6, address + 1, binary) == 1;
 }
 
-/* Rejects empty, "." and ".." segments, ?, # and %; may end in '/'. */
+/* Rejects empty, "." and ".." segments, ?, # and a % that encodes no byte; may
+ * end in '/'. */
 static bool is_path_prefix(const char *s)
 {
-	if (s[0] != '/' || strpbrk(s, "?#%"))
+	if (s[0] != '/' || strpbrk(s, "?#") || !bb_uri_path_is_encoded(s) ||
+	    bb_uri_path_has_dot_segment(s))
 		return false;
 	while (*s && s[1]) {
 		size_t size = strcspn(++s, "/");
 
-		if (!size || (size == 1 && s[0] == '.') ||
-		    (size == 2 && !strncmp(s, "..", 2)))
+		if (!size)
 			return false;
 		s += size;
 	}
@@ -315,7 +317,8 @@
 	if (column->kind == BB_COLUMN_PATH && !is_path_prefix(s))
 		return fail_value(location, s,
 				  "is not / or /segment without empty, . and "
-				  ".. segments, ?, # and %",
+				  ".. segments, ?, # and a % that encodes no "
+				  "byte",
 				  err);
 	*field = g_string_chunk_insert_const(b->config->index->strings, s);
 	return 0;
--- a/src/libconfig/config_index.c
+++ b/src/libconfig/config_index.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "uri_path.h"
+
 /* Number of slots of a new index; a power of two. */
 #define HASH_INDEX_SLOTS_MIN 16
 
@@ -280,17 +282,30 @@
 	return root;
 }
 
+/* Normal form of a prefix, which lives as long as the index. */
+static const char *normal_prefix(struct bb_config *c, const char *prefix)
+{
+	char *normal = bb_uri_path_normalize(prefix);
+	const char *kept =
+		normal ? g_string_chunk_insert(c->index->strings, normal) :
+			 prefix;
+
+	g_free(normal);
+	return kept;
+}
+
 /*
  * A prefix that ends in '/' has an empty last segment, which matches any
  * further segments; "/" itself is the root.
  */
 uint32_t bb_config_index_route(struct bb_config *c, uint32_t route)
 {
-	const char *s = c->routes[route].path_prefix;
+	const char *prefix = normal_prefix(c, c->routes[route].path_prefix);
+	const char *s = prefix;
 	uint32_t node = find_or_add_root(c, c->routes[route].host_name);
 	uint32_t next;
 
-	while (s[0] == '/' && (s[1] || s != c->routes[route].path_prefix)) {
+	while (s[0] == '/' && (s[1] || s != prefix)) {
 		size_t size = strcspn(++s, "/");
 		uint32_t child = find_child(c, node, s, size);
 
@@ -355,20 +370,26 @@
 {
 	char *lower = lower_name(host);
 	uint32_t roots[] = { find_root(c, lower), 0 };
+	uint32_t route = BB_NO_ROW;
+	char *normal;
 
 	g_free(lower);
 	*path_matched = false;
 	if (path[0] != '/')
 		return BB_NO_ROW;
-	for (size_t i = host ? 0 : 1; i < G_N_ELEMENTS(roots); i++) {
+	normal = bb_uri_path_normalize(path);
+	for (size_t i = host ? 0 : 1;
+	     route == BB_NO_ROW && i < G_N_ELEMENTS(roots); i++) {
 		uint32_t first = roots[i] == BB_NO_ROW ?
 					 BB_NO_ROW :
-					 longest_prefix(c, roots[i], path);
-		uint32_t route = route_of_method(c, first, method);
+					 longest_prefix(c, roots[i],
+							normal ? normal : path);
 
-		if (route != BB_NO_ROW)
-			return route;
+		route = route_of_method(c, first, method);
 		*path_matched = *path_matched || first != BB_NO_ROW;
 	}
-	return BB_NO_ROW;
+	g_free(normal);
+	if (route != BB_NO_ROW)
+		*path_matched = false;
+	return route;
 }
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -121,6 +121,54 @@
 	EXPECT_EQ(BB_ACCESS_PUBLIC, c->routes[0].access);
 }
 
+// Guards against a prefix with percent-encoded bytes that is refused or does not
+// match, and against a caller that reaches or avoids a route by spelling a path
+// in another way.
+TEST(Config, PathsAreComparedInNormalForm)
+{
+	Document d;
+	auto with_prefix = [&](const std::string &prefix) {
+		Document e = d;
+
+		e.routes.replace(e.routes.find("/book/profile"), 13, prefix);
+		return e.json();
+	};
+	bool known;
+
+	Config c = parse(with_prefix("/sch%C3%A4rfen/"));
+	ASSERT_NE(nullptr, c);
+	EXPECT_STREQ("/sch%C3%A4rfen/", c->routes[2].path_prefix);
+	EXPECT_EQ(text_of(c.get()), text_of(parse(text_of(c.get())).get()));
+	auto match = [&](const char *path) {
+		uint32_t r = bb_config_match_route(c.get(), nullptr, path,
+						   BB_METHOD_GET, &known);
+
+		return std::string(r == BB_NO_ROW ? "-" : c->routes[r].name);
+	};
+	EXPECT_EQ("profile", match("/sch%C3%A4rfen/1"));
+	EXPECT_EQ("profile", match("/sch%c3%a4rfen/1"));
+	EXPECT_EQ("profile", match("/%73ch%C3%A4rfen/1"));
+	EXPECT_EQ("profile", match("/book/../sch%C3%A4rfen/"));
+	EXPECT_EQ("profile", match("/./sch%C3%A4rfen/./x"));
+	EXPECT_EQ("root", match("/sch%C3%A4rfen"));
+	EXPECT_EQ("root", match("/sch%25C3%25A4rfen/1"));
+	EXPECT_EQ("root", match("/sch%C3%A4rfen%2F1"));
+	EXPECT_EQ("book-get", match("/%62ook"));
+	EXPECT_EQ("book-get", match("/x/%2e%2E/book/y"));
+	EXPECT_EQ("root", match("/book/.."));
+	EXPECT_EQ("root", match("/../.."));
+	EXPECT_EQ("root", match("/%"));
+	EXPECT_EQ("root", match("/book%2"));
+	// Equivalent prefixes are the same one.
+	c = parse(with_prefix("/%7Eme/%c3"));
+	ASSERT_NE(nullptr, c);
+	EXPECT_EQ("profile", match("/~me/%C3/1"));
+	EXPECT_EQ(nullptr, parse(with_prefix("/%62ook")));
+	for (auto bad : { "/a%", "/a%4", "/a%4g/", "/%zz", "/%2e/", "/%2E%2e",
+			  "/a/.", "/a/%2e./b" })
+		EXPECT_EQ(nullptr, parse(with_prefix(bad))) << bad;
+}
+
 // Guards against services of a split that are lost, and against a split that is
 // accepted although it is empty, has no defined service or weight, or does not
 // begin with the service of the route.
