Config: a value that is not valid stops nothing but its own row

Weighed: the former state of a refused row, nothing in its place, and refusal as before. The former state would differ between nodes that had read different versions before, or none, and would keep keys and routes alive; so a refused row is left out, which depends on the version alone. bb_config_parse_rows() leaves out rows of services, backends, routes and accounts that break a rule or refer to such a row; a host or the document itself still refuses the whole. Requests under the prefix of a refused route are refused as not run (503) and do not fall to a shorter prefix, which would run them at another service. bb_config_parse(), which baobabctl and the configuration service use, is as strict as before.

Operators see it: a log line for each row, refused_rows of /status, a problem in baobabctl status, baobabward_config_rows_refused.

Table.SpreadsheetForms uses "big, one " as its invalid name, since "big, one" is valid now.

--- a/include/baobabward/config.h
+++ b/include/baobabward/config.h
@@ -107,12 +107,34 @@
 	double started_ms;
 };
 
+/*
+ * Limit of rates in requests per second and of bursts in requests, above the
+ * needs of any single client account.
+ */
+#define BB_RATE_MAX 1000000000.0
+/* Number of the lowest priority. */
+#define BB_PRIORITY_MAX 255
+/* Limit of max_attempts, more backend servers than any retry would try. */
+#define BB_ROUTE_ATTEMPTS_MAX 64
+/* Longest timeout: one day. */
+#define BB_TIMEOUT_MAX_MS 86400000
+/* Longest host name of a route, in bytes (RFC 1035, 2.3.4). */
+#define BB_HOST_NAME_MAX 255
 /* Largest @slots and @max_connections of struct bb_backend. */
 #define BB_BACKEND_SLOTS_MAX 65535
 #define BB_BACKEND_CONNECTIONS_MAX 1000000
 /* Largest @started_ms of struct bb_backend: whole numbers are exact up to it. */
 #define BB_BACKEND_STARTED_MS_MAX 9007199254740992.0
 
+/**
+ * bb_config_is_label() - whether the document takes a string as the name of a
+ * service, a route or a client account: 1 to BB_NAME_MAX bytes of UTF-8 without
+ * control characters, and without a space at either end, so that it is the value
+ * of a header.
+ * @s: string, may be NULL
+ */
+bool bb_config_is_label(const char *s);
+
 /**
  * bb_config_is_name() - whether the document takes a string as a name: 1 to
  * BB_NAME_MAX bytes of printable ASCII without spaces.
@@ -239,6 +261,9 @@
  * @hosts_version_before: all versions from this one up to the one before
  *                        @hosts_version list the same hosts; 0 if that is not
  *                        known
+ * @refusals: for each row that was left out because it is not valid, its
+ *            location, the value and the rule
+ * @refusals_nr: number of @refusals
  * @index: hash indexes for the lookup functions
  */
 struct bb_config {
@@ -259,6 +284,8 @@
 	size_t routes_nr;
 	struct bb_account *accounts;
 	size_t accounts_nr;
+	char **refusals;
+	size_t refusals_nr;
 	struct bb_config_index *index;
 };
 
@@ -276,6 +303,25 @@
 struct bb_config *bb_config_parse(const char *json, size_t size,
 				  struct bb_error *err);
 
+/**
+ * bb_config_parse_rows() - parse a document without the rows that are not valid.
+ * @json: the document, UTF-8 JSON
+ * @size: number of bytes
+ * @err: as for bb_config_parse()
+ *
+ * For documents that cannot be sent back to their writer: one value that is not
+ * valid must not keep the rest from taking effect, such as the withdrawal of a
+ * key. A row of services, backends, routes or accounts that breaks a rule, or
+ * refers to such a row, is left out and counted. Paths under the prefix of a
+ * refused route do not fall to a shorter prefix, see bb_config_is_refused_path().
+ * What is left out depends on the document alone, so that all nodes agree on it.
+ *
+ * Return: snapshot owned by the caller, or NULL if a rule of the document or of
+ * a host is broken.
+ */
+struct bb_config *bb_config_parse_rows(const char *json, size_t size,
+				       struct bb_error *err);
+
 /**
  * bb_config_delete() - free a snapshot.
  * @c: snapshot, may be NULL
@@ -334,6 +380,16 @@
 			       const char *path, unsigned int method,
 			       bool *path_matched);
 
+/**
+ * bb_config_is_refused_path() - whether a path without a route is that of a
+ * route that was refused.
+ * @c: snapshot
+ * @host: host name in the request, without a port; NULL for none
+ * @path: path without the query, for which bb_config_match_route() found none
+ */
+bool bb_config_is_refused_path(const struct bb_config *c, const char *host,
+			       const char *path);
+
 /**
  * bb_config_to_json() - write a snapshot as a document.
  * @c: snapshot
--- a/src/libconfig/config_columns.c
+++ b/src/libconfig/config_columns.c
@@ -35,20 +35,8 @@
  */
 #define WEIGHT_MIN 0.001
 #define WEIGHT_MAX 1000000.0
-/*
- * Limit of rates in requests per second and of bursts in requests, above the
- * needs of any single client account.
- */
-#define RATE_MAX 1000000000.0
 /* Maximum number of services that share one route. */
 #define SPLIT_MAX 64
-/* Number of the lowest priority. */
-#define PRIORITY_MAX 255
-/* Limit of max_attempts, more backend servers than any retry would try. */
-#define ATTEMPTS_MAX 64
-/* One day. */
-#define TIMEOUT_MAX_MS 86400000
-
 #define COLUMN(type, field, kind_, min_, max_, optional_)               \
 	{                                                               \
 		.name = #field, .offset = offsetof(struct type, field), \
@@ -75,9 +63,9 @@
 };
 
 static const struct bb_column service_columns[] = {
-	COLUMN(bb_service, name, BB_COLUMN_NAME, 0, 0, false),
+	COLUMN(bb_service, name, BB_COLUMN_LABEL, 0, 0, false),
 	COLUMN(bb_service, floor_percent, BB_COLUMN_U32, 0, 100, false),
-	SPARSE(bb_service, health_path, BB_COLUMN_PATH, 0, 0),
+	SPARSE(bb_service, health_path, BB_COLUMN_TARGET, 0, 0),
 };
 
 static const struct bb_column backend_columns[] = {
@@ -97,30 +85,32 @@
 };
 
 static const struct bb_column route_columns[] = {
-	COLUMN(bb_route, name, BB_COLUMN_NAME, 0, 0, false),
+	COLUMN(bb_route, name, BB_COLUMN_LABEL, 0, 0, false),
 	COLUMN(bb_route, path_prefix, BB_COLUMN_PATH, 0, 0, false),
 	COLUMN(bb_route, methods, BB_COLUMN_METHODS, 0, 0, false),
 	COLUMN(bb_route, service, BB_COLUMN_SERVICE, 0, 0, false),
-	SPARSE(bb_route, host_name, BB_COLUMN_NAME, 0, 0),
+	SPARSE(bb_route, host_name, BB_COLUMN_HOST_NAME, 0, 0),
 	SPARSE(bb_route, split, BB_COLUMN_SPLIT, 0, 0),
 	COLUMN(bb_route, idempotent, BB_COLUMN_BOOL, 0, 0, false),
 	COLUMN(bb_route, access, BB_COLUMN_ACCESS, 0, 0, false),
 	COLUMN(bb_route, max_body_bytes, BB_COLUMN_U32, 0, UINT32_MAX, false),
-	COLUMN(bb_route, timeout_ms, BB_COLUMN_U32, 1, TIMEOUT_MAX_MS, false),
-	SPARSE(bb_route, target_latency_ms, BB_COLUMN_U32, 0, TIMEOUT_MAX_MS),
-	SPARSE(bb_route, priority, BB_COLUMN_U32, 0, PRIORITY_MAX),
-	SPARSE(bb_route, max_attempts, BB_COLUMN_U32, 0, ATTEMPTS_MAX),
+	COLUMN(bb_route, timeout_ms, BB_COLUMN_U32, 1, BB_TIMEOUT_MAX_MS,
+	       false),
+	SPARSE(bb_route, target_latency_ms, BB_COLUMN_U32, 0,
+	       BB_TIMEOUT_MAX_MS),
+	SPARSE(bb_route, priority, BB_COLUMN_U32, 0, BB_PRIORITY_MAX),
+	SPARSE(bb_route, max_attempts, BB_COLUMN_U32, 0, BB_ROUTE_ATTEMPTS_MAX),
 };
 
 static const struct bb_column account_columns[] = {
-	COLUMN(bb_account, name, BB_COLUMN_NAME, 0, 0, false),
-	COLUMN(bb_account, rate_per_s, BB_COLUMN_REAL, 0, RATE_MAX, false),
-	COLUMN(bb_account, burst, BB_COLUMN_REAL, 1, RATE_MAX, false),
+	COLUMN(bb_account, name, BB_COLUMN_LABEL, 0, 0, false),
+	COLUMN(bb_account, rate_per_s, BB_COLUMN_REAL, 0, BB_RATE_MAX, false),
+	COLUMN(bb_account, burst, BB_COLUMN_REAL, 1, BB_RATE_MAX, false),
 	COLUMN(bb_account, weight, BB_COLUMN_REAL, WEIGHT_MIN, WEIGHT_MAX,
 	       false),
 	SPARSE(bb_account, unlimited, BB_COLUMN_BOOL, 0, 0),
 	SPARSE(bb_account, ranked, BB_COLUMN_BOOL, 0, 0),
-	SPARSE(bb_account, priority, BB_COLUMN_U32, 0, PRIORITY_MAX),
+	SPARSE(bb_account, priority, BB_COLUMN_U32, 0, BB_PRIORITY_MAX),
 	COLUMN(bb_account, key_hashes, BB_COLUMN_KEY_HASHES, 0, 0, false),
 };
 
@@ -210,10 +200,28 @@
 	return size && size <= BB_NAME_MAX && is_printable(s, size);
 }
 
-/* Text of a string value, or NULL unless it is printable without spaces. */
-static const char *read_text(const struct bb_location *location,
-			     const json_t *value, size_t max,
-			     struct bb_error *err)
+static bool is_label(const char *s, size_t size)
+{
+	if (!g_utf8_validate(s, (gssize)size, NULL) || s[0] == ' ' ||
+	    (size && s[size - 1] == ' '))
+		return false;
+	for (size_t i = 0; i < size; i++)
+		if ((unsigned char)s[i] < ' ' || s[i] == 0x7f)
+			return false;
+	return true;
+}
+
+bool bb_config_is_label(const char *s)
+{
+	size_t size = s ? strlen(s) : 0;
+
+	return size && size <= BB_NAME_MAX && is_label(s, size);
+}
+
+/* Text of a string value of at most @max bytes, or NULL. */
+static const char *read_bounded(const struct bb_location *location,
+				const json_t *value, size_t max,
+				struct bb_error *err)
 {
 	const char *s = json_string_value(value);
 	size_t size = json_string_length(value);
@@ -232,7 +240,31 @@
 				  size, max);
 		return NULL;
 	}
-	if (!is_printable(s, size)) {
+	return s;
+}
+
+static const char *read_label(const struct bb_location *location,
+			      const json_t *value, struct bb_error *err)
+{
+	const char *s = read_bounded(location, value, BB_NAME_MAX, err);
+
+	if (!s || is_label(s, json_string_length(value)))
+		return s;
+	fail_value(
+		location, s,
+		"has a control character, a space at an end, or is not UTF-8",
+		err);
+	return NULL;
+}
+
+/* Text of a string value, or NULL unless it is printable without spaces. */
+static const char *read_text(const struct bb_location *location,
+			     const json_t *value, size_t max,
+			     struct bb_error *err)
+{
+	const char *s = read_bounded(location, value, max, err);
+
+	if (s && !is_printable(s, json_string_length(value))) {
 		fail_value(location, s,
 			   "has a character that is not printable ASCII or is "
 			   "a space",
@@ -284,10 +316,10 @@
 
 /* Rejects empty, "." and ".." segments, ?, # and a % that encodes no byte; may
  * end in '/'. */
-static bool is_path_prefix(const char *s)
+bool bb_config_is_path_prefix(const char *s)
 {
-	if (s[0] != '/' || strpbrk(s, "?#") || !bb_uri_path_is_encoded(s) ||
-	    bb_uri_path_has_dot_segment(s))
+	if (s[0] != '/' || strlen(s) > BB_PATH_PREFIX_MAX || strpbrk(s, "?#") ||
+	    !bb_uri_path_is_encoded(s) || bb_uri_path_has_dot_segment(s))
 		return false;
 	while (*s && s[1]) {
 		size_t size = strcspn(++s, "/");
@@ -299,14 +331,22 @@
 	return true;
 }
 
+static size_t max_size(enum bb_column_kind kind)
+{
+	if (kind == BB_COLUMN_PATH || kind == BB_COLUMN_TARGET)
+		return BB_PATH_PREFIX_MAX;
+	return kind == BB_COLUMN_HOST_NAME ? BB_HOST_NAME_MAX : BB_NAME_MAX;
+}
+
 static int read_string(struct bb_config_builder *b,
 		       const struct bb_column *column,
 		       const struct bb_location *location, const json_t *value,
 		       char **field, struct bb_error *err)
 {
-	size_t max = column->kind == BB_COLUMN_PATH ? BB_PATH_PREFIX_MAX :
-						      BB_NAME_MAX;
-	const char *s = read_text(location, value, max, err);
+	const char *s =
+		column->kind == BB_COLUMN_LABEL ?
+			read_label(location, value, err) :
+			read_text(location, value, max_size(column->kind), err);
 
 	if (!s)
 		return -1;
@@ -314,12 +354,15 @@
 		return fail_value(location, s, "is not an IP number", err);
 	if (column->kind == BB_COLUMN_URL && !is_url(s))
 		return fail_value(location, s, "is not http://IP:port", err);
-	if (column->kind == BB_COLUMN_PATH && !is_path_prefix(s))
+	if (column->kind == BB_COLUMN_PATH && !bb_config_is_path_prefix(s))
 		return fail_value(location, s,
 				  "is not / or /segment without empty, . and "
 				  ".. segments, ?, # and a % that encodes no "
 				  "byte",
 				  err);
+	if (column->kind == BB_COLUMN_TARGET && (s[0] != '/' || strchr(s, '#')))
+		return fail_value(location, s,
+				  "is not a path with or without a query", err);
 	*field = g_string_chunk_insert_const(b->config->index->strings, s);
 	return 0;
 }
@@ -375,7 +418,7 @@
 			  const json_t *value, uint32_t *field,
 			  struct bb_error *err)
 {
-	const char *s = read_text(location, value, BB_NAME_MAX, err);
+	const char *s = read_label(location, value, err);
 	char rule[64];
 
 	if (!s)
@@ -528,6 +571,9 @@
 {
 	switch (column->kind) {
 	case BB_COLUMN_NAME:
+	case BB_COLUMN_LABEL:
+	case BB_COLUMN_HOST_NAME:
+	case BB_COLUMN_TARGET:
 	case BB_COLUMN_ADDRESS:
 	case BB_COLUMN_URL:
 	case BB_COLUMN_PATH:
--- a/src/libconfig/config_index.c
+++ b/src/libconfig/config_index.c
@@ -298,14 +298,14 @@
  * A prefix that ends in '/' has an empty last segment, which matches any
  * further segments; "/" itself is the root.
  */
-uint32_t bb_config_index_route(struct bb_config *c, uint32_t route)
+static uint32_t find_or_add_node(struct bb_config *c, const char *host,
+				 const char *prefix)
 {
-	const char *prefix = normal_prefix(c, c->routes[route].path_prefix);
-	const char *s = prefix;
-	uint32_t node = find_or_add_root(c, c->routes[route].host_name);
-	uint32_t next;
+	const char *normal = normal_prefix(c, prefix);
+	const char *s = normal;
+	uint32_t node = find_or_add_root(c, host);
 
-	while (s[0] == '/' && (s[1] || s != prefix)) {
+	while (s[0] == '/' && (s[1] || s != normal)) {
 		size_t size = strcspn(++s, "/");
 		uint32_t child = find_child(c, node, s, size);
 
@@ -314,7 +314,15 @@
 		node = child;
 		s += size;
 	}
-	next = path_node(c, node)->first_route;
+	return node;
+}
+
+uint32_t bb_config_index_route(struct bb_config *c, uint32_t route)
+{
+	uint32_t node = find_or_add_node(c, c->routes[route].host_name,
+					 c->routes[route].path_prefix);
+	uint32_t next = path_node(c, node)->first_route;
+
 	for (uint32_t i = next; i != BB_NO_ROW;
 	     i = g_array_index(c->index->route_next, uint32_t, i))
 		if (c->routes[i].methods & c->routes[route].methods)
@@ -324,34 +332,55 @@
 	return BB_NO_ROW;
 }
 
-static void update_first_route(const struct bb_config *c, uint32_t node,
-			       uint32_t *first)
+void bb_config_index_refused(struct bb_config *c, const char *host,
+			     const char *prefix)
 {
-	if (node != BB_NO_ROW && path_node(c, node)->first_route != BB_NO_ROW)
-		*first = path_node(c, node)->first_route;
+	char *kept = g_string_chunk_insert(c->index->strings, prefix);
+	uint32_t node = find_or_add_node(c, host, kept);
+
+	path_node(c, node)->refused = true;
 }
 
-/* First route of the longest matching prefix below a root, or BB_NO_ROW. */
-static uint32_t longest_prefix(const struct bb_config *c, uint32_t root,
-			       const char *path)
+/* Longest prefix of a path so far: its first route, or whether it was refused. */
+struct match {
+	uint32_t first;
+	bool refused;
+};
+
+static void update_match(const struct bb_config *c, uint32_t node,
+			 struct match *m)
 {
+	const struct bb_path_node *n = path_node(c, node);
+
+	if (n->first_route == BB_NO_ROW && !n->refused)
+		return;
+	m->first = n->first_route;
+	m->refused = n->first_route == BB_NO_ROW;
+}
+
+/* Longest matching prefix below a root. */
+static struct match longest_prefix(const struct bb_config *c, uint32_t root,
+				   const char *path)
+{
+	struct match m = { BB_NO_ROW, false };
 	uint32_t node = root;
-	uint32_t first = path_node(c, root)->first_route;
 	const char *s = path;
 
+	update_match(c, root, &m);
 	while (s[0] == '/') {
 		size_t size = strcspn(++s, "/");
+		uint32_t any = node == root ? BB_NO_ROW :
+					      find_child(c, node, "", 0);
 
-		if (node != root)
-			update_first_route(c, find_child(c, node, "", 0),
-					   &first);
+		if (any != BB_NO_ROW)
+			update_match(c, any, &m);
 		node = find_child(c, node, s, size);
 		if (node == BB_NO_ROW)
 			break;
-		update_first_route(c, node, &first);
+		update_match(c, node, &m);
 		s += size;
 	}
-	return first;
+	return m;
 }
 
 static uint32_t route_of_method(const struct bb_config *c, uint32_t first,
@@ -364,32 +393,57 @@
 	return BB_NO_ROW;
 }
 
-uint32_t bb_config_match_route(const struct bb_config *c, const char *host,
-			       const char *path, unsigned int method,
-			       bool *path_matched)
+/*
+ * Longest prefix below the root of the host name, or below that of the routes
+ * without one if no route has the method there.
+ */
+static uint32_t match_path(const struct bb_config *c, const char *host,
+			   const char *path, unsigned int method,
+			   bool *path_matched, bool *refused)
 {
 	char *lower = lower_name(host);
 	uint32_t roots[] = { find_root(c, lower), 0 };
+	char *normal = bb_uri_path_normalize(path);
 	uint32_t route = BB_NO_ROW;
-	char *normal;
 
 	g_free(lower);
-	*path_matched = false;
-	if (path[0] != '/')
-		return BB_NO_ROW;
-	normal = bb_uri_path_normalize(path);
 	for (size_t i = host ? 0 : 1;
-	     route == BB_NO_ROW && i < G_N_ELEMENTS(roots); i++) {
-		uint32_t first = roots[i] == BB_NO_ROW ?
-					 BB_NO_ROW :
-					 longest_prefix(c, roots[i],
-							normal ? normal : path);
-
-		route = route_of_method(c, first, method);
-		*path_matched = *path_matched || first != BB_NO_ROW;
+	     route == BB_NO_ROW && !*refused && i < G_N_ELEMENTS(roots); i++) {
+		struct match m;
+
+		if (roots[i] == BB_NO_ROW)
+			continue;
+		m = longest_prefix(c, roots[i], normal ? normal : path);
+		route = route_of_method(c, m.first, method);
+		*path_matched = *path_matched || m.first != BB_NO_ROW;
+		*refused = m.refused;
 	}
 	g_free(normal);
+	return route;
+}
+
+uint32_t bb_config_match_route(const struct bb_config *c, const char *host,
+			       const char *path, unsigned int method,
+			       bool *path_matched)
+{
+	uint32_t route = BB_NO_ROW;
+	bool refused = false;
+
+	*path_matched = false;
+	if (path[0] == '/')
+		route = match_path(c, host, path, method, path_matched,
+				   &refused);
 	if (route != BB_NO_ROW)
 		*path_matched = false;
 	return route;
 }
+
+bool bb_config_is_refused_path(const struct bb_config *c, const char *host,
+			       const char *path)
+{
+	bool path_matched = false, refused = false;
+
+	if (c->refusals_nr && path[0] == '/')
+		match_path(c, host, path, 0, &path_matched, &refused);
+	return refused;
+}
--- a/src/libconfig/config_internal.h
+++ b/src/libconfig/config_internal.h
@@ -32,6 +32,9 @@
 /* Types of values. */
 enum bb_column_kind {
 	BB_COLUMN_NAME,
+	BB_COLUMN_LABEL,
+	BB_COLUMN_HOST_NAME,
+	BB_COLUMN_TARGET,
 	BB_COLUMN_ADDRESS,
 	BB_COLUMN_URL,
 	BB_COLUMN_PATH,
@@ -115,6 +118,7 @@
  * @parent: index of the parent node, BB_NO_ROW for the root of the routes
  *          without a host name
  * @first_route: first route whose prefix ends here, BB_NO_ROW for none
+ * @refused: the prefix of a refused route ends here
  * @segment: path segment without slashes, not terminated; host name in the
  *           roots of the routes with one
  * @segment_size: number of bytes of @segment
@@ -122,6 +126,7 @@
 struct bb_path_node {
 	uint32_t parent;
 	uint32_t first_route;
+	bool refused;
 	const char *segment;
 	uint32_t segment_size;
 };
@@ -160,6 +165,7 @@
  * @endpoints: set of address and port pairs of the hosts
  * @label: replaces the table name in errors, or NULL
  * @row_numbers: row number of each row in errors, or NULL to count from 1
+ * @refusals: why rows were left out, NULL to fail at the first one instead
  */
 struct bb_config_builder {
 	struct bb_config *config;
@@ -168,6 +174,7 @@
 	GHashTable *endpoints;
 	const char *label;
 	const size_t *row_numbers;
+	GPtrArray *refusals;
 };
 
 struct bb_config_builder *bb_config_builder_new(void);
@@ -199,6 +206,9 @@
 		   const struct bb_location *location, const json_t *value,
 		   void *field, struct bb_error *err);
 
+/* Whether a string is valid as the prefix of a route. */
+bool bb_config_is_path_prefix(const char *s);
+
 /* Fills in an error that begins with a location; returns -1. */
 int bb_location_error(const struct bb_location *location, struct bb_error *err,
 		      const char *format, ...)
@@ -249,5 +259,8 @@
  * then it returns that one, else BB_NO_ROW.
  */
 uint32_t bb_config_index_route(struct bb_config *c, uint32_t route);
+/* Marks the prefix of a route that was refused. */
+void bb_config_index_refused(struct bb_config *c, const char *host,
+			     const char *prefix);
 
 #endif
--- a/src/libconfig/config_parse.c
+++ b/src/libconfig/config_parse.c
@@ -85,6 +85,9 @@
 		g_free(c->accounts[i].key_hashes);
 	for (size_t i = 0; i < c->routes_nr; i++)
 		g_free(c->routes[i].split);
+	for (size_t i = 0; i < c->refusals_nr; i++)
+		g_free(c->refusals[i]);
+	g_free(c->refusals);
 	g_free(c->hosts);
 	g_free(c->services);
 	g_free(c->backends);
@@ -104,6 +107,8 @@
 	bb_config_delete(b->config);
 	g_hash_table_destroy(b->zones);
 	g_hash_table_destroy(b->endpoints);
+	if (b->refusals)
+		g_ptr_array_free(b->refusals, TRUE);
 	g_free(b);
 }
 
@@ -211,10 +216,26 @@
 	return 0;
 }
 
+static guint hash_of_key_hash(gconstpointer key)
+{
+	guint hash;
+
+	memcpy(&hash, key, sizeof(hash));
+	return hash;
+}
+
+static gboolean same_key_hash(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, BB_KEY_HASH_SIZE);
+}
+
+/* Nothing is indexed unless the whole row is valid. */
 static int finish_account(struct bb_config_builder *b,
 			  struct bb_location *location, uint32_t row,
 			  struct bb_error *err)
 {
+	g_autoptr(GHashTable)
+		own = g_hash_table_new(hash_of_key_hash, same_key_hash);
 	struct bb_config *c = b->config;
 	const struct bb_account *a = &c->accounts[row];
 
@@ -223,14 +244,17 @@
 		uint32_t other = bb_config_index_find_hash(c, a->key_hashes[i]);
 		char quoted[BB_QUOTE_SIZE];
 
+		if (!g_hash_table_add(own, a->key_hashes[i]))
+			other = row;
 		if (other != BB_NO_ROW)
 			return bb_location_error(
 				location, err,
 				"hash %zu is also in account \"%s\"", i + 1,
 				bb_quote(c->accounts[other].name, quoted,
 					 sizeof(quoted)));
-		bb_config_index_key(c, row, i);
 	}
+	for (size_t i = 0; i < a->key_hashes_nr; i++)
+		bb_config_index_key(c, row, i);
 	return 0;
 }
 
@@ -343,8 +367,33 @@
 	if (bb_config_index_find(b->config, table, name, strlen(name)) !=
 	    BB_NO_ROW)
 		return bb_location_error(location, err, "name is used twice");
+	if (finish_row(b, table, location, row, err))
+		return -1;
 	bb_config_index_name(b->config, table, row);
-	return finish_row(b, table, location, row, err);
+	return 0;
+}
+
+/* Leaves out the last row of a table, of which nothing is indexed. */
+static void refuse_row(struct bb_config_builder *b, enum bb_table table,
+		       const json_t *object, const struct bb_error *why)
+{
+	GArray *rows = b->rows[table];
+	const char *prefix =
+		json_string_value(json_object_get(object, "path_prefix"));
+
+	if (table == BB_TABLE_ROUTES)
+		g_free(b->config->routes[rows->len - 1].split);
+	if (table == BB_TABLE_ACCOUNTS)
+		g_free(b->config->accounts[rows->len - 1].key_hashes);
+	g_array_set_size(rows, rows->len - 1);
+	update_tables(b);
+	if (table == BB_TABLE_ROUTES && prefix &&
+	    bb_config_is_path_prefix(prefix))
+		bb_config_index_refused(
+			b->config,
+			json_string_value(json_object_get(object, "host_name")),
+			prefix);
+	g_ptr_array_add(b->refusals, g_strdup(why->message));
 }
 
 int bb_config_builder_add(struct bb_config_builder *b, enum bb_table table,
@@ -354,6 +403,7 @@
 		.table = b->label ? b->label : bb_tables[table].name
 	};
 	size_t first = b->rows[table]->len;
+	struct bb_error why;
 	size_t i;
 	json_t *object;
 
@@ -364,8 +414,15 @@
 						first + i + 1;
 		location.name = NULL;
 		location.column = NULL;
-		if (add_row(b, table, &location, object, err))
+		if (!add_row(b, table, &location, object,
+			     b->refusals ? &why : err))
+			continue;
+		if (!b->refusals || table == BB_TABLE_HOSTS) {
+			if (b->refusals && err)
+				*err = why;
 			return -1;
+		}
+		refuse_row(b, table, object, &why);
 	}
 	return 0;
 }
@@ -412,6 +469,10 @@
 		g_array_free(b->rows[i], FALSE);
 	g_hash_table_destroy(b->zones);
 	g_hash_table_destroy(b->endpoints);
+	if (b->refusals) {
+		c->refusals_nr = b->refusals->len;
+		c->refusals = (char **)g_ptr_array_free(b->refusals, FALSE);
+	}
 	g_free(b);
 	return c;
 }
@@ -482,8 +543,9 @@
 	return 0;
 }
 
-struct bb_config *bb_config_parse(const char *json, size_t size,
-				  struct bb_error *err)
+/* @leave_out: leave out rows that are not valid */
+static struct bb_config *parse(const char *json, size_t size, bool leave_out,
+			       struct bb_error *err)
 {
 	struct bb_config_builder *b;
 	json_t *root;
@@ -496,6 +558,7 @@
 	if (!root)
 		return NULL;
 	b = bb_config_builder_new();
+	b->refusals = leave_out ? g_ptr_array_new_with_free_func(g_free) : NULL;
 	if (add_document(b, root, err)) {
 		json_decref(root);
 		bb_config_builder_delete(b);
@@ -504,3 +567,15 @@
 	json_decref(root);
 	return bb_config_builder_finish(b, err);
 }
+
+struct bb_config *bb_config_parse(const char *json, size_t size,
+				  struct bb_error *err)
+{
+	return parse(json, size, false, err);
+}
+
+struct bb_config *bb_config_parse_rows(const char *json, size_t size,
+				       struct bb_error *err)
+{
+	return parse(json, size, true, err);
+}
--- a/src/libconfig/config_write.c
+++ b/src/libconfig/config_write.c
@@ -11,7 +11,7 @@
 		g_string_append(out, "null");
 		return;
 	}
-	/* Validated text is printable ASCII; only '"' and '\\' are escaped. */
+	/* Validated text is UTF-8 without control characters. */
 	g_string_append_c(out, '"');
 	for (; *s; s++) {
 		if (*s == '"' || *s == '\\')
@@ -81,6 +81,9 @@
 
 	switch (column->kind) {
 	case BB_COLUMN_NAME:
+	case BB_COLUMN_LABEL:
+	case BB_COLUMN_HOST_NAME:
+	case BB_COLUMN_TARGET:
 	case BB_COLUMN_ADDRESS:
 	case BB_COLUMN_URL:
 	case BB_COLUMN_PATH:
@@ -140,9 +143,9 @@
 	if (!column->sparse)
 		return false;
 	switch (column->kind) {
-	case BB_COLUMN_PATH:
+	case BB_COLUMN_TARGET:
 		return !strcmp(*(char *const *)field, BB_HEALTH_PATH_DEFAULT);
-	case BB_COLUMN_NAME:
+	case BB_COLUMN_HOST_NAME:
 	case BB_COLUMN_SPLIT:
 		return !*(void *const *)field;
 	case BB_COLUMN_U32:
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -50,6 +50,8 @@
 	{ "config_version", "gauge", "Version of the configuration in force." },
 	{ "config_accepted_total", "counter", "Configurations accepted." },
 	{ "config_refused_total", "counter", "Configurations refused." },
+	{ "config_rows_refused", "gauge",
+	  "Rows left out of the configuration in force." },
 	{ "config_reads_total", "counter",
 	  "Reads and watches of the configuration service." },
 	{ "host_list_sequence", "gauge",
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -176,6 +176,8 @@
 	uint64_t version = bb_control_config(c)->version;
 
 	bb_metrics_set(BB_METRIC_CONFIG_VERSION, version);
+	bb_metrics_set(BB_METRIC_CONFIG_ROWS_REFUSED,
+		       bb_control_config(c)->refusals_nr);
 	bb_log_info(BB_LOG_CONFIG, "version %" G_GUINT64_FORMAT " is in force",
 		    version);
 }
--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -233,7 +233,7 @@
 
 static enum bb_reason find_route(struct bb_call *c, const struct header_scan *s)
 {
-	bool path_known = false;
+	bool path_known = false, refused = false;
 	unsigned int method = bb_method_parse(c->method);
 	char *path, *host;
 
@@ -252,11 +252,17 @@
 		host = host_name(s->host);
 		c->route = bb_config_match_route(c->snapshot->config, host,
 						 path, method, &path_known);
+		refused = c->route == BB_NO_ROW &&
+			  bb_config_is_refused_path(c->snapshot->config, host,
+						    path);
 		g_free(host);
 		g_free(path);
 	}
 	if (c->route != BB_NO_ROW)
 		return BB_REASON_NONE;
+	/* There is a route, which this node cannot use. */
+	if (refused)
+		return BB_REASON_NOT_CURRENT;
 	return path_known ? BB_REASON_METHOD_NOT_ALLOWED : BB_REASON_NO_ROUTE;
 }
 
--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -168,6 +168,18 @@
 	return false;
 }
 
+/* Rows that the status lists at most; the log has all. */
+#define REFUSED_ROWS_MAX 16
+
+static json_t *refused_rows(const struct bb_config *c)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0; c && i < MIN(c->refusals_nr, REFUSED_ROWS_MAX); i++)
+		json_array_append_new(rows, json_string(c->refusals[i]));
+	return rows;
+}
+
 static char *status_document(struct bb_node *n)
 {
 	struct bb_snapshot *s = bb_snapshots_get(n->snapshots);
@@ -180,11 +192,12 @@
 
 	g_snprintf(incarnation, sizeof(incarnation),
 		   "%016" G_GINT64_MODIFIER "x", n->incarnation);
-	o = json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:i}", "host",
+	o = json_pack("{s:s, s:s, s:s, s:I, s:I, s:o, s:b, s:i}", "host",
 		      n->settings->host, "incarnation", incarnation, "state",
 		      bb_node_state_string[state(n)], "config_version",
 		      in_force ? version : 0, "candidate_version",
-		      in_force ? 0 : version, "automation",
+		      in_force ? 0 : version, "refused_rows",
+		      refused_rows(s ? s->config : NULL), "automation",
 		      s ? s->config->automation : 0, "busy",
 		      n->traffic ? (int)bb_traffic_in_progress(n->traffic) : 0);
 	more = json_loads(control, 0, NULL);
--- a/src/libstatus/report.c
+++ b/src/libstatus/report.c
@@ -230,6 +230,25 @@
 	}
 }
 
+/* Rows that a node left out of its configuration, by the first of them. */
+static void check_refused_rows(json_t *problems,
+			       const struct bb_status_answer *a)
+{
+	json_t *rows = json_object_get(a->document, "refused_rows");
+	const char *first = json_string_value(json_array_get(rows, 0));
+	GString *what;
+
+	if (!first)
+		return;
+	what = g_string_new(NULL);
+	g_string_append_printf(what,
+			       "left %zu rows out of its configuration, first ",
+			       json_array_size(rows));
+	append_text(what, first);
+	add_problem(problems, a, what->str);
+	g_string_free(what, TRUE);
+}
+
 json_t *bb_status_problems(const struct bb_status_answer *answers, size_t nr,
 			   bool expect_automation_off)
 {
@@ -245,6 +264,7 @@
 				 json_object_get(a->document, "automation")))
 			add_problem(problems, a,
 				    "does not have automation off");
+		check_refused_rows(problems, a);
 	}
 	check_versions(problems, answers, nr);
 	return problems;
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -261,6 +261,121 @@
 	g_rand_free(r);
 }
 
+// Guards against one value that is not valid and keeps the rest of a document
+// from taking effect, and against what is left of it: a row that refers to a
+// refused one, a key, or a path that falls to a shorter prefix.
+TEST(Config, RowsThatAreNotValidAreLeftOut)
+{
+	Document d;
+	struct bb_error err = {};
+	bool known;
+
+	d.services += R"(,{"name":"bad","floor_percent":101})";
+	d.backends +=
+		R"(,{"name":"o3","host":"h1","service":"bad","url":"http://127.0.0.1:8003","weight":1,"slots":5,"max_connections":5,"state":"in"})";
+	d.routes +=
+		R"(,{"name":"to-bad","path_prefix":"/book/bad/","methods":["GET"],"service":"bad","idempotent":true,"access":"open","max_body_bytes":1,"timeout_ms":1},
+{"name":"late","path_prefix":"/late/","host_name":"x.example","methods":["GET"],"service":"orders","idempotent":true,"access":"open","max_body_bytes":1,"timeout_ms":0},
+{"name":"same","path_prefix":"/%62ook","methods":["GET"],"service":"orders","idempotent":true,"access":"open","max_body_bytes":1,"timeout_ms":1},
+{"name":"below","path_prefix":"/book/bad/below/","methods":["GET"],"service":"orders","idempotent":true,"access":"open","max_body_bytes":1,"timeout_ms":1})";
+	d.accounts = account_row(1, -1) + "," + account_row(2, 2.5) + "," +
+		     replaced(account_row(2, 1), "account-2", "twin") + "," +
+		     account_row(3, 1);
+	EXPECT_EQ(nullptr, parse(d.json()));
+	std::string json = d.json();
+	Config c(bb_config_parse_rows(json.data(), json.size(), &err));
+
+	ASSERT_NE(nullptr, c) << err.message;
+	ASSERT_EQ(7u, c->refusals_nr);
+	EXPECT_STREQ("services row 3 (name \"bad\"), column floor_percent: 101 "
+		     "is not between 0 and 100",
+		     c->refusals[0]);
+	EXPECT_EQ(2u, c->services_nr);
+	EXPECT_EQ(2u, c->backends_nr);
+	EXPECT_EQ(5u, c->routes_nr);
+	EXPECT_EQ(2u, c->accounts_nr);
+	EXPECT_EQ(BB_NO_ROW, bb_config_find_key(c.get(), "bbk_1", 5));
+	EXPECT_EQ(0u, bb_config_find_key(c.get(), "bbk_2", 5));
+	EXPECT_EQ(1u, bb_config_find_key(c.get(), "bbk_3", 5));
+	EXPECT_EQ(1u, bb_config_find_account(c.get(), "account-3", 9));
+	EXPECT_EQ(BB_NO_ROW, bb_config_find_account(c.get(), "twin", 4));
+	auto match = [&](const char *host, const char *path) {
+		uint32_t r = bb_config_match_route(c.get(), host, path,
+						   BB_METHOD_GET, &known);
+
+		if (r != BB_NO_ROW)
+			return std::string(c->routes[r].name);
+		EXPECT_FALSE(known);
+		return std::string(
+			bb_config_is_refused_path(c.get(), host, path) ?
+				"refused" :
+				"-");
+	};
+	EXPECT_EQ("refused", match(nullptr, "/book/bad/1"));
+	EXPECT_EQ("refused", match("y.example", "/book/%62ad/1"));
+	EXPECT_EQ("below", match(nullptr, "/book/bad/below/1"));
+	EXPECT_EQ("book-get", match(nullptr, "/book/1"));
+	EXPECT_EQ("refused", match("X.example", "/late/1"));
+	EXPECT_EQ("root", match(nullptr, "/late/1"));
+	EXPECT_FALSE(bb_config_is_refused_path(c.get(), nullptr, "/book/1"));
+	// What a host or the document breaks is no row to leave out.
+	json = replaced(json, "\"data_port\":7001", "\"data_port\":0");
+	EXPECT_EQ(nullptr,
+		  bb_config_parse_rows(json.data(), json.size(), &err));
+	EXPECT_NE(nullptr, strstr(err.message, "hosts row 1"));
+	// Without such rows the result is the same.
+	json = Document().json();
+	c.reset(bb_config_parse_rows(json.data(), json.size(), &err));
+	ASSERT_NE(nullptr, c);
+	EXPECT_EQ(0u, c->refusals_nr);
+	EXPECT_EQ(text_of(parse(json).get()), text_of(c.get()));
+}
+
+// Guards against a name, a host name or a health path that is refused although
+// it is valid in HTTP, and against one that is not.
+TEST(Config, NamesHostsAndHealthPaths)
+{
+	const std::string host_255(255, 'h');
+	auto with = [](const std::string &from, const std::string &to) {
+		std::string json = Document().json();
+
+		for (size_t i; (i = json.find(from)) != std::string::npos;)
+			json.replace(i, from.size(), to);
+		return parse(json);
+	};
+	auto add = [](const std::string &after, const std::string &column) {
+		std::string json = Document().json();
+
+		return parse(
+			json.insert(json.find(after) + after.size(), column));
+	};
+	const std::string book = "\"path_prefix\":\"/book/profile\"";
+	const std::string service = "\"floor_percent\":60";
+
+	for (auto name : { "Oberlechner S\303\244ge", "a b", "%" }) {
+		Config c = with("account-1", name);
+
+		ASSERT_NE(nullptr, c) << name;
+		EXPECT_EQ(0u,
+			  bb_config_find_account(c.get(), name, strlen(name)));
+		EXPECT_EQ(text_of(c.get()),
+			  text_of(parse(text_of(c.get())).get()));
+		EXPECT_NE(nullptr, with("orders", name)) << name;
+		EXPECT_NE(nullptr, with("book-get", name)) << name;
+	}
+	for (auto name : { " a", "a ", "a\\tb", "a\\u007f" })
+		EXPECT_EQ(nullptr, with("account-1", name)) << name;
+	EXPECT_NE(nullptr, with("account-1", std::string(128, 'n')));
+	EXPECT_EQ(nullptr, with("account-1", std::string(129, 'n')));
+	EXPECT_NE(nullptr, add(book, ",\"host_name\":\"" + host_255 + "\""));
+	EXPECT_EQ(nullptr, add(book, ",\"host_name\":\"" + host_255 + "h\""));
+	EXPECT_NE(nullptr,
+		  add(service, ",\"health_path\":\"/h?full=1&x=%20\""));
+	EXPECT_EQ(nullptr, add(service, ",\"health_path\":\"h\""));
+	EXPECT_EQ(nullptr, add(service, ",\"health_path\":\"/h#x\""));
+	EXPECT_EQ(nullptr, add(service, ",\"health_path\":\"/h x\""));
+}
+
 // Replaces @from in the document; @message is part of the expected error.
 struct Fault {
 	const char *from;
--- a/src/test_lib/test_status.cc
+++ b/src/test_lib/test_status.cc
@@ -131,6 +131,18 @@
 	EXPECT_EQ(1u, unknown.problems(false));
 }
 
+// Guards against rows that were left out of a version without operators seeing
+// it.
+TEST(Status, RowsThatWereLeftOutAreAProblem)
+{
+	Fleet f;
+
+	f.add(R"({"config_version":7,"refused_rows":[]})");
+	EXPECT_EQ(0u, f.problems(false));
+	f.add(R"({"config_version":7,"refused_rows":["routes row 2"]})");
+	EXPECT_EQ(1u, f.problems(false));
+}
+
 // Guards against a leaving host that operators do not see, and against a host
 // list that was never read but is shown as empty.
 TEST(Status, ShowsTheHostList)
--- a/src/test_lib/test_table.cc
+++ b/src/test_lib/test_table.cc
@@ -73,11 +73,12 @@
 	for (size_t at = 0; (at = crlf.find('\n', at)) != std::string::npos;
 	     at += 2)
 		crlf.replace(at, 1, "\r\n");
-	crlf += "account,\"big, one\",1,10,20,,,,,,,";
+	crlf += "account,\"big, one \",1,10,20,,,,,,,";
 	EXPECT_FALSE(apply_table(crlf, &why));
-	EXPECT_NE(std::string::npos, why.find("t.csv row 4 (name \"big, one\")"))
+	EXPECT_NE(std::string::npos,
+		  why.find("t.csv row 4 (name \"big, one \")"))
 		<< why;
-	crlf.replace(crlf.find("big, one"), 8, "big,one");
+	crlf.replace(crlf.find("big, one "), 9, "big,one");
 	Config c = apply_table(crlf, &why);
 	ASSERT_TRUE(c) << why;
 	EXPECT_STREQ("big,one", c->accounts[0].name);
