Queue: a free slot is taken whatever the time left

Change: while there is a slot besides those for all that wait, a request may wait 20 ms for the pacing of connections, or until its deadline.

Queue.FreeSlotIsTakenWhateverTheTimeLeft failed before (neither starts).

--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -17,6 +17,9 @@
 #define DEFAULT_ACTIVE_PERIOD_US (10 * BB_US_PER_S)
 /* Weight of a new measurement in the moving average of the service time. */
 #define SERVICE_TIME_GAIN 0.125
+/* Time for which a request waits at least while there is a slot for it: it starts
+ * at once but for the pacing of new connections. */
+#define FREE_SLOT_WAIT_US (20 * BB_US_PER_MS)
 /* Longest time between two checks whether waiting entries can start in time. */
 #define RECHECK_INTERVAL_US (10 * BB_US_PER_MS)
 
@@ -343,9 +346,17 @@
 	return (int64_t)q->service_us;
 }
 
+/* Whether there is a slot for a new entry besides those for all that wait. */
+static bool has_slot_for_new(const struct bb_queue *q, int64_t now_us)
+{
+	return q->running + q->waiting < q->o.slots &&
+	       !bb_pace_wait_us(&q->pace, 0, now_us);
+}
+
 enum bb_reason bb_queue_push(struct bb_queue *q, struct bb_queue_entry *e,
 			     int64_t now_us)
 {
+	bool has_slot = has_slot_for_new(q, now_us);
 	struct bb_queue_account *a;
 	double wait = 0;
 
@@ -362,7 +373,11 @@
 	else if (!e->idempotent &&
 		 e->expires_us - now_us > q->o.booking_wait_us)
 		e->expires_us = now_us + q->o.booking_wait_us;
-	if (!bb_queue_has_free_slot(q, now_us))
+	if (has_slot)
+		e->expires_us =
+			MAX(e->expires_us,
+			    MIN(e->not_after_us, now_us + FREE_SLOT_WAIT_US));
+	else
 		wait = estimate_new_wait_us(q, a, now_us);
 	if (wait > (double)(e->expires_us - now_us))
 		return expiry_reason(e);
--- a/src/test_lib/test_queue.cc
+++ b/src/test_lib/test_queue.cc
@@ -204,6 +204,44 @@
 	EXPECT_EQ(BB_REASON_DEADLINE, f.push(2, 50 * MS, 50 * MS)->refused);
 }
 
+// Guards against a request that is refused although a slot is free, because its
+// caller leaves less time than its target latency allows for a wait.
+TEST(Queue, FreeSlotIsTakenWhateverTheTimeLeft)
+{
+	struct bb_queue_options o = {};
+
+	o.slots = 2;
+	o.connect_interval_us = 5 * MS;
+	fixture f(o);
+	auto push = [&](int64_t now) {
+		f.all.emplace_back(new request);
+		request *r = f.all.back().get();
+
+		r->e.account = 1;
+		r->e.not_after_us = now + 2000 * MS;
+		r->e.max_wait_us = 1;
+		r->e.needs_new_connection = true;
+		r->refused = bb_queue_push(f.q, &r->e, now);
+		f.waiting += !r->refused;
+		r->state = r->refused ? OUT : WAITING;
+		return r;
+	};
+	request *first = push(100 * MS), *second = push(100 * MS);
+
+	// The second one waits for its connection.
+	EXPECT_EQ(first, f.pop(101 * MS, 0));
+	EXPECT_EQ(nullptr, f.pop(102 * MS, 0));
+	bb_queue_expire(f.q, 104 * MS);
+	EXPECT_EQ(second, f.pop(107 * MS, 0));
+	// Without a slot the limit holds.
+	request *third = push(108 * MS);
+	bb_queue_expire(f.q, 120 * MS);
+	EXPECT_EQ(BB_REASON_QUEUE_FULL, third->refused);
+	f.finish(first, 121 * MS);
+	EXPECT_EQ(BB_REASON_NONE, push(121 * MS)->refused);
+	EXPECT_NE(nullptr, f.pop(122 * MS, 0));
+}
+
 // Guards against a queue that grows as long as the deadlines allow, so that
 // entries are refused only after a long wait. Overload: a backend server with 5
 // slots and 400 ms per request gets requests of 8 client accounts at twice the
