Front: an idempotency key has no effect where no records are held

Change: where idempotency_window_ms is 0, as the adapter sets it, the header is the backend server's and is passed on; the request runs like one without it.

Front.IdempotencyKeyWithoutRecordsIsPassedOn failed before (the key is hashed and would be looked up).

--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -275,7 +275,9 @@
 	size_t n;
 
 	c->has_idempotency_key = false;
-	if (!s->idempotency_key)
+	/* With a window of 0 no records are held, and the header is the backend
+	 * server's. */
+	if (!s->idempotency_key || !c->snapshot->config->idempotency_window_ms)
 		return c->lookup_only ? BB_REASON_BAD_REQUEST : BB_REASON_NONE;
 	n = strlen(s->idempotency_key);
 	if (!n || n > IDEMPOTENCY_KEY_MAX_BYTES)
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -195,14 +195,17 @@
 		bb_snapshots_delete(snapshots_);
 	}
 
-	void set_config(const Document &d)
+	void set_config(Config c)
 	{
-		Config c = parse(d.json());
-
 		ASSERT_NE(nullptr, c);
 		ASSERT_TRUE(bb_snapshots_swap(snapshots_, c.release()));
 	}
 
+	void set_config(const Document &d)
+	{
+		set_config(parse(d.json()));
+	}
+
 	struct bb_front *front_ = nullptr;
 	int fd_ = -1;
 
@@ -589,6 +592,42 @@
 				     "a"));
 }
 
+// Guards against a request that waits for records which nobody holds: with a
+// window of 0 its idempotency key concerns the backend server only.
+TEST_F(Front, IdempotencyKeyWithoutRecordsIsPassedOn)
+{
+	const std::string window = "\"idempotency_window_ms\":60000";
+	Document d;
+
+	d.version = "8";
+	std::string json = d.json();
+	set_config(parse(json.replace(json.find(window), window.size(),
+				      "\"idempotency_window_ms\":0")));
+	EXPECT_EQ("200 ran",
+		  ask("POST /book", KEY + "Idempotency-Key: k\r\n", "a"));
+	EXPECT_EQ("", last().key_hash);
+	EXPECT_NE(std::string::npos, last().headers.find("Idempotency-Key=k;"));
+}
+
+// Guards against a request for a route that was left out of the configuration
+// which runs at the service of a shorter prefix, or gets 404.
+TEST_F(Front, PathOfARefusedRouteIsNotRun)
+{
+	struct bb_error err = {};
+	Document d;
+
+	d.version = "8";
+	d.routes +=
+		R"(,{"name":"late","path_prefix":"/book/late/","methods":["GET"],"service":"orders","idempotent":true,"access":"open","max_body_bytes":1,"timeout_ms":0})";
+	std::string json = d.json();
+
+	set_config(
+		Config(bb_config_parse_rows(json.data(), json.size(), &err)));
+	EXPECT_EQ("503 not-run", ask("GET /book/late/1", KEY));
+	EXPECT_EQ(0u, submitted());
+	EXPECT_EQ("200 ran", ask("GET /book/1", KEY));
+}
+
 // Guards against a different request with the same idempotency key that is
 // taken for a repetition of the first.
 TEST_F(Front, FingerprintCoversTheRequest)
