Store: a node that the store turns away asks its peers

Cause: after a failed read the client asked no peer until the store answered it again, and a node that reads for others has no peer to ask by the relay's order.

Evidence keeps its age on the way, so that nodes that ask each other in a real outage agree on it as before.

Beside it: bb_listener_port() calls bb_socket_local_port().

--- a/include/baobabward/relay.h
+++ b/include/baobabward/relay.h
@@ -7,8 +7,10 @@
  *
  * Of the hosts of each group, the first few live ones in the order of a hash read
  * the registry; the others ask one of those for changes. A group is an
- * availability zone or, if that is small, the whole fleet. There is no election: nodes that disagree on who is alive only read more often. A
- * node asks hosts before it in that order only, so that no two ask each other.
+ * availability zone or, if that is small, the whole fleet. There is no election:
+ * nodes that disagree on who is alive only read more often. A node asks hosts
+ * before it in that order only, so that no two ask each other; but one that the
+ * registry does not answer asks any, since the registry may answer those.
  *
  * What a peer passes on is never trusted more than an own read. Each answer has
  * the era and the revision of the registry and the age of the evidence that
@@ -162,6 +164,22 @@
 bool bb_relay_read(struct bb_relay *r, int64_t era, uint64_t after,
 		   int64_t now_us);
 
+/**
+ * bb_relay_ask_any() - ask a live peer for what it knows now.
+ * @r: relay
+ * @era: era of the registry as last told to this node, -1 if unknown
+ * @after: revision
+ * @now_us: current time
+ *
+ * For a node that the registry does not answer while it may answer others. The
+ * peer may be any of the group, each time another one, and answers at once. Two
+ * nodes may ask each other; the age of their evidence grows meanwhile.
+ *
+ * Return: as for bb_relay_read().
+ */
+bool bb_relay_ask_any(struct bb_relay *r, int64_t era, uint64_t after,
+		      int64_t now_us);
+
 /**
  * bb_relay_cancel() - the answer of a peer is not wanted any more.
  */
--- a/src/libmember/relay.c
+++ b/src/libmember/relay.c
@@ -432,16 +432,28 @@
 	return chosen;
 }
 
-bool bb_relay_read(struct bb_relay *r, int64_t era, uint64_t after,
-		   int64_t now_us)
+/* A live host of the group, another one with each read. */
+static uint32_t choose_any(const struct bb_relay *r, int64_t now_us)
+{
+	for (size_t i = 0; i < r->group_nr; i++) {
+		size_t n = (r->self_rank / 2 + r->nonce + i) % r->group_nr;
+		const struct candidate *c = &r->group[n];
+
+		if (c->rank != r->self_rank &&
+		    r->o.alive(r->o.data, c->host, now_us) &&
+		    !is_shunned(r, r->config->hosts[c->host].name, now_us))
+			return c->host;
+	}
+	return BB_NO_ROW;
+}
+
+/* Asks a host, which answers within @wait_us if there is no change. */
+static void ask(struct bb_relay *r, uint32_t host, int64_t era, uint64_t after,
+		int64_t wait_us, int64_t now_us)
 {
 	struct bb_message m = { .type = BB_MESSAGE_REGISTRY_READ };
-	uint32_t host = choose_upstream(r, now_us);
-	const char *name;
+	const char *name = r->config->hosts[host].name;
 
-	if (host == BB_NO_ROW)
-		return false;
-	name = r->config->hosts[host].name;
 	if (strcmp(name, r->upstream) != 0)
 		bb_log_event(BB_LOG_CONFIG, G_LOG_LEVEL_INFO, NULL,
 			     "registry_upstream",
@@ -450,14 +462,34 @@
 	g_strlcpy(r->upstream, name, sizeof(r->upstream));
 	r->read_nonce = ++r->nonce;
 	r->read_after = after;
-	r->read_until_us =
-		now_us + part_us(r, WAIT_PERCENT + ANSWER_SLACK_PERCENT);
+	r->read_until_us = now_us + wait_us + part_us(r, ANSWER_SLACK_PERCENT);
 	m.registry_read.nonce = r->read_nonce;
 	m.registry_read.era = era;
 	m.registry_read.after = after;
-	m.registry_read.wait_ms =
-		(uint32_t)(part_us(r, WAIT_PERCENT) / BB_US_PER_MS);
+	m.registry_read.wait_ms = (uint32_t)(wait_us / BB_US_PER_MS);
 	r->o.send(r->o.data, host, &m);
+}
+
+bool bb_relay_read(struct bb_relay *r, int64_t era, uint64_t after,
+		   int64_t now_us)
+{
+	uint32_t host = choose_upstream(r, now_us);
+
+	if (host == BB_NO_ROW)
+		return false;
+	ask(r, host, era, after, part_us(r, WAIT_PERCENT), now_us);
+	return true;
+}
+
+bool bb_relay_ask_any(struct bb_relay *r, int64_t era, uint64_t after,
+		      int64_t now_us)
+{
+	uint32_t host = r->o.hosts_per_reader ? choose_any(r, now_us) :
+						BB_NO_ROW;
+
+	if (host == BB_NO_ROW)
+		return false;
+	ask(r, host, era, after, 0, now_us);
 	return true;
 }
 
--- a/src/libnode/listener.c
+++ b/src/libnode/listener.c
@@ -11,6 +11,7 @@
 
 #include "baobabward/rounds.h"
 #include "libnode/address.h"
+#include "libnode/socket.h"
 
 /* Pause before the next attempt when no connection can be accepted. */
 #define ACCEPT_RETRY_MS 10
@@ -124,17 +125,7 @@
 
 uint16_t bb_listener_port(const struct bb_listener *l)
 {
-	union {
-		struct sockaddr any;
-		struct sockaddr_in in;
-		struct sockaddr_in6 in6;
-	} address = { .in6 = { 0 } };
-	socklen_t size = sizeof(address);
-
-	if (getsockname(l->fd, &address.any, &size))
-		return 0;
-	return ntohs(address.any.sa_family == AF_INET6 ? address.in6.sin6_port :
-							 address.in.sin_port);
+	return (uint16_t)bb_socket_local_port(l->fd);
 }
 
 bool bb_listener_drain(struct bb_listener *l)
