Front: the bodies of requests in progress share a memory limit

Cause: a body was bounded, the sum of them was not.

A declared length is reserved before the body is read, one in chunks as it grows. One body alone is always taken. baobabward_body_bytes shows the sum, baobabward_refused_total the refusals.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -23,6 +23,8 @@
 /* In the order of enum bb_metric. */
 static const struct metric_description descriptions[] = {
 	{ "requests_total", "counter", "Requests received from callers." },
+	{ "body_bytes", "gauge",
+	  "Bytes reserved for the bodies of callers' requests in progress." },
 	{ "answers_local_total", "counter",
 	  "Requests answered by a backend server beside the entry node." },
 	{ "answers_remote_total", "counter",
--- a/src/libcore/verdict.c
+++ b/src/libcore/verdict.c
@@ -45,6 +45,7 @@
 	{ 500, BB_REASON_INTERNAL },
 	{ 503, BB_REASON_BACKEND_REFUSED },
 	{ 503, BB_REASON_MISDIRECTED },
+	{ 503, BB_REASON_BODY_MEMORY },
 };
 
 static_assert(sizeof(reason_status) / sizeof(*reason_status) == BB_REASON_COUNT,
@@ -83,6 +84,7 @@
 	"internal",
 	"backend-server-refused",
 	"misdirected",
+	"body-memory",
 };
 
 static_assert(sizeof(bb_reason_string) / sizeof(*bb_reason_string) ==
--- a/src/libnode/call.h
+++ b/src/libnode/call.h
@@ -67,6 +67,7 @@
  * @deadline_us: end of the timeout of its route, or earlier if the caller asks
  *               for it; 0 before it is set
  * @traceparent: header value of the caller, or NULL
+ * @body_reserved: bytes that the front has reserved for the body
  * @discarded_bytes: bytes of the body of a refused request that were discarded
  * @lookup_only: the caller only asks for the outcome of an idempotency key
  * @idempotency_key_hash: hash of account, route and key, if
@@ -93,6 +94,7 @@
 	char *traceparent;
 	GArray *headers;
 	GByteArray *body;
+	uint64_t body_reserved;
 	size_t discarded_bytes;
 	bool has_idempotency_key;
 	bool lookup_only;
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -84,6 +84,44 @@
 	return MHD_YES;
 }
 
+static void release_body(struct bb_front *f, struct bb_call *c)
+{
+	ck_pr_sub_64(&f->body_bytes, c->body_reserved);
+	c->body_reserved = 0;
+	bb_metrics_set(BB_METRIC_BODY_BYTES, ck_pr_load_64(&f->body_bytes));
+}
+
+/*
+ * Reserves memory for a body of @size bytes. The sum of all bodies is bounded, so
+ * that many uploads do not end the process; one alone is always taken.
+ */
+static bool reserve_body(struct bb_front *f, struct bb_call *c, uint64_t size)
+{
+	uint64_t more = size > c->body_reserved ? size - c->body_reserved : 0;
+	uint64_t others = ck_pr_faa_64(&f->body_bytes, more) - c->body_reserved;
+
+	c->body_reserved += more;
+	if (f->o.body_memory && others &&
+	    others + c->body_reserved > f->o.body_memory) {
+		release_body(f, c);
+		return false;
+	}
+	bb_metrics_set(BB_METRIC_BODY_BYTES, ck_pr_load_64(&f->body_bytes));
+	return true;
+}
+
+/* Declared length of the body, 0 for none or one in chunks. */
+static uint64_t declared_length(const struct bb_call *c)
+{
+	const char *text = MHD_lookup_connection_value(
+		c->connection, MHD_HEADER_KIND, "Content-Length");
+	guint64 n = 0;
+
+	if (text)
+		g_ascii_string_to_unsigned(text, 10, 0, UINT64_MAX, &n, NULL);
+	return n;
+}
+
 static enum MHD_Result begin_request(struct bb_front *f, struct bb_call *c,
 				     const char *method)
 {
@@ -91,26 +129,39 @@
 
 	c->method = g_strdup(method);
 	reason = bb_front_admit(f, c);
+	if (!reason && !reserve_body(f, c, declared_length(c)))
+		reason = BB_REASON_BODY_MEMORY;
 	if (reason)
 		return refuse_admission(f, c, reason);
 	return MHD_YES;
 }
 
-/* Reads the body without storing it, so that the caller gets the refusal. */
+/*
+ * Reads the body without storing it, so that the caller gets the refusal. One
+ * that may be sent again as it is, is read to its end.
+ */
 static enum MHD_Result discard_body(struct bb_call *c, size_t *size)
 {
+	size_t max = c->answer.reason == BB_REASON_BODY_MEMORY ?
+			     bb_call_route(c)->max_body_bytes :
+			     DISCARD_MAX_BYTES;
+
 	c->discarded_bytes += *size;
 	*size = 0;
-	return c->discarded_bytes > DISCARD_MAX_BYTES ? MHD_NO : MHD_YES;
+	return c->discarded_bytes > max ? MHD_NO : MHD_YES;
 }
 
-static enum MHD_Result receive_body(struct bb_call *c, const char *data,
-				    size_t *size)
+static enum MHD_Result receive_body(struct bb_front *f, struct bb_call *c,
+				    const char *data, size_t *size)
 {
 	if (!c->answer.reason &&
 	    c->body->len + *size > bb_call_route(c)->max_body_bytes)
 		bb_call_refuse(c, BB_VERDICT_NOT_RUN, BB_REASON_BODY_TOO_LARGE,
 			       0);
+	if (!c->answer.reason && !reserve_body(f, c, c->body->len + *size)) {
+		bb_call_refuse(c, BB_VERDICT_NOT_RUN, BB_REASON_BODY_MEMORY, 0);
+		g_byte_array_set_size(c->body, 0);
+	}
 	if (c->answer.reason)
 		return discard_body(c, size);
 	g_byte_array_append(c->body, (const guint8 *)data, (guint)*size);
@@ -183,7 +234,7 @@
 				       f->o.dialect, f->o.history);
 	}
 	if (*upload_size)
-		return receive_body(c, upload, upload_size);
+		return receive_body(f, c, upload, upload_size);
 	return end_request(f, c);
 }
 
@@ -196,6 +247,7 @@
 	(void)why;
 	if (!*request)
 		return;
+	release_body(f, *request);
 	bb_call_delete(*request);
 	*request = NULL;
 	ck_pr_dec_uint(&f->open_requests);
--- a/src/libnode/front.h
+++ b/src/libnode/front.h
@@ -26,6 +26,8 @@
  * @port: TCP port, 0 for one that the system chooses
  * @threads: number of threads that serve connections
  * @connection_limit: maximum number of connections of callers
+ * @body_memory: limit on the sum of the bodies of requests that are received or
+ *               in progress in bytes, 0 for none; one body alone is always taken
  * @idle_timeout_s: an idle or stalled connection is closed after this time
  * @dialect: names of headers, NULL for the default
  * @local_service: service whose backend server is beside this node, NULL for
@@ -44,6 +46,7 @@
 	uint16_t port;
 	unsigned int threads;
 	unsigned int connection_limit;
+	uint64_t body_memory;
 	unsigned int idle_timeout_s;
 	const struct bb_dialect *dialect;
 	const char *local_service;
--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -300,6 +300,7 @@
 		.port = (uint16_t)o->port,
 		.threads = o->front_threads,
 		.connection_limit = o->connection_limit,
+		.body_memory = (uint64_t)o->body_memory_mb << 20,
 		.idle_timeout_s = o->idle_timeout_s,
 		.dialect = n->dialect,
 		.local_service = o->local_service,
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -173,6 +173,7 @@
 		o.address = "127.0.0.1";
 		o.threads = 2;
 		o.connection_limit = 10;
+		o.body_memory = 60000;
 		o.idle_timeout_s = 60;
 		o.incarnation = 0xab;
 		o.snapshots = snapshots_;
@@ -628,6 +629,38 @@
 	EXPECT_EQ("200 ran", ask("GET /book/1", KEY));
 }
 
+// Guards against many uploads at once that take more memory than the process has,
+// against a refusal that is lost or does not say that the request has not run, and
+// against memory that is not given back.
+TEST_F(Front, BodiesShareAMemoryLimit)
+{
+	const std::string large(40000, 'x');
+	const std::string declared = KEY + "Content-Length: " +
+				     std::to_string(large.size()) + "\r\n";
+	const std::string chunked =
+		"POST /book HTTP/1.1\r\nHost: h\r\n" + KEY +
+		"Transfer-Encoding: chunked\r\n\r\n9c40\r\n" + large +
+		"\r\n0\r\n\r\n";
+	int held;
+
+	EXPECT_EQ("100", status(send_raw(request(
+				 "POST /book",
+				 declared + "Expect: 100-continue\r\n", ""))));
+	held = fd_;
+	fd_ = -1;
+	EXPECT_EQ("503 not-run", ask("POST /book", KEY, large));
+	close(fd_);
+	fd_ = -1;
+	EXPECT_EQ("503 not-run", status(send_raw(chunked)));
+	EXPECT_EQ("200 ran", ask("POST /book", KEY, "small"));
+	EXPECT_EQ(1u, submitted());
+	close(held);
+	while (bb_front_requests(front_))
+		g_usleep(1000);
+	EXPECT_EQ("200 ran", ask("POST /book", KEY, large));
+	EXPECT_EQ("200 ran", ask("POST /book", KEY, large));
+}
+
 // Guards against a different request with the same idempotency key that is
 // taken for a repetition of the first.
 TEST_F(Front, FingerprintCoversTheRequest)
