Socket: idle connections are closed on the users' platform, too

Change: a socket that was never connected takes the place of the idle one by dup3(), after SO_LINGER has made its close a reset. Reads and writes fail as before, on any system; the descriptor stays valid for libcurl.

--- a/src/libnode/socket.c
+++ b/src/libnode/socket.c
@@ -1,14 +1,24 @@
 #include "libnode/socket.h"
 
-#include <netinet/in.h>
+#include <arpa/inet.h>
+#include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 int bb_socket_break_off(int fd)
 {
-	/* connect(2): dissolves the association of a TCP socket. */
-	const struct sockaddr none = { .sa_family = AF_UNSPEC };
+	/* socket(7): what was sent is dropped, and the peer gets a reset. */
+	const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	int unconnected = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int rc;
 
-	return connect(fd, &none, sizeof(none));
+	if (unconnected < 0)
+		return -1;
+	rc = setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	if (!rc && dup3(unconnected, fd, O_CLOEXEC) < 0)
+		rc = -1;
+	close(unconnected);
+	return rc;
 }
 
 unsigned int bb_socket_local_port(int fd)
--- a/src/libnode/socket.h
+++ b/src/libnode/socket.h
@@ -8,9 +8,10 @@
  * bb_socket_break_off() - reset a TCP connection and keep its descriptor open.
  * @fd: its socket
  *
- * All later reads and writes fail. After shutdown(), a read would report the end
- * of the connection, as if the peer had closed it, and an answer whose end is
- * the end of its connection would look complete.
+ * A socket that was never connected takes its place, so that all later reads and
+ * writes fail. After shutdown(), a read would report the end of the connection,
+ * as if the peer had closed it, and an answer whose end is the end of its
+ * connection would look complete.
  *
  * Return: 0, or -1 with errno set.
  */
--- a/src/test_lib/test_socket.cc
+++ b/src/test_lib/test_socket.cc
@@ -1,5 +1,6 @@
 // Breaking off TCP connections, over real sockets.
 #include <arpa/inet.h>
+#include <dlfcn.h>
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -14,6 +15,19 @@
 #include "libnode/socket.h"
 }
 
+// Some systems, among them the users' platform, cannot dissolve the association
+// of a socket.
+extern "C" int connect(int fd, const struct sockaddr *a, socklen_t size)
+{
+	static auto next = (int (*)(int, const struct sockaddr *,
+				    socklen_t))dlsym(RTLD_NEXT, "connect");
+
+	if (a->sa_family != AF_UNSPEC)
+		return next(fd, a, size);
+	errno = EAFNOSUPPORT;
+	return -1;
+}
+
 namespace
 {
 
