Relay: a peer that is asked at once is given up after some round trips

Trace of sidecar-ga-east-b-5: from 21.7 to 26.1 s neither the store (connections time out after 1 s) nor two peers answer it, so that its whole link is slow. Each attempt there spent 0.3 to 0.4 s more on a peer than before, which delays the next read of the store.

Change: the answer of a peer that is asked at once is waited for 5% of the time for a change (100 to 150 ms) instead of 15%.

--- a/src/libmember/relay.c
+++ b/src/libmember/relay.c
@@ -14,6 +14,10 @@
 #define WATCH_PERCENT 30
 #define WAIT_PERCENT 25
 #define ANSWER_SLACK_PERCENT 15
+/* The same for an answer at once: several round trips. Where the node's own link
+ * is slow, neither peers nor the registry answer, and the wait delays the next
+ * read of the registry. */
+#define ANY_SLACK_PERCENT 5
 #define EVIDENCE_PERCENT 60
 #define INTERVAL_PERCENT 40
 /* The same while peers depend on this node, and while it starts: many items may
@@ -447,9 +451,10 @@
 	return BB_NO_ROW;
 }
 
-/* Asks a host, which answers within @wait_us if there is no change. */
+/* Asks a host, which answers within @wait_us if there is no change; its answer is
+ * given up @slack_us later. */
 static void ask(struct bb_relay *r, uint32_t host, int64_t era, uint64_t after,
-		int64_t wait_us, int64_t now_us)
+		int64_t wait_us, int64_t slack_us, int64_t now_us)
 {
 	struct bb_message m = { .type = BB_MESSAGE_REGISTRY_READ };
 	const char *name = r->config->hosts[host].name;
@@ -462,7 +467,7 @@
 	g_strlcpy(r->upstream, name, sizeof(r->upstream));
 	r->read_nonce = ++r->nonce;
 	r->read_after = after;
-	r->read_until_us = now_us + wait_us + part_us(r, ANSWER_SLACK_PERCENT);
+	r->read_until_us = now_us + wait_us + slack_us;
 	m.registry_read.nonce = r->read_nonce;
 	m.registry_read.era = era;
 	m.registry_read.after = after;
@@ -477,7 +482,8 @@
 
 	if (host == BB_NO_ROW)
 		return false;
-	ask(r, host, era, after, part_us(r, WAIT_PERCENT), now_us);
+	ask(r, host, era, after, part_us(r, WAIT_PERCENT),
+	    part_us(r, ANSWER_SLACK_PERCENT), now_us);
 	return true;
 }
 
@@ -489,7 +495,7 @@
 
 	if (host == BB_NO_ROW)
 		return false;
-	ask(r, host, era, after, 0, now_us);
+	ask(r, host, era, after, 0, part_us(r, ANY_SLACK_PERCENT), now_us);
 	return true;
 }
 
