Adjacent: a time-out of a former process is not that of the next

A request that its entry node gave up as timed out (bb_adjacent_cancel()) still opened the breaker of the process that had started since, and callers' requests were refused.

Change: update_breaker() itself looks at the start, so that it holds for both.

--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -307,6 +307,8 @@
 	struct bb_breaker *b = &job->backend->breaker;
 	uint32_t failures = b->failures;
 
+	if (!is_of_present_start(job))
+		return;
 	switch (kind) {
 	case BB_OUTCOME_OK:
 	case BB_OUTCOME_CLIENT_ERROR:
@@ -414,8 +416,7 @@
 			   job->started_us - job->queue_entry.pushed_us);
 	count_connection(job, r->end == BB_EXECUTION_DONE, r->new_connection);
 	count_closed_idle(b, r->closed_idle);
-	if (is_of_present_start(job))
-		update_breaker(job, outcome_kind(r), bb_clock_now_us());
+	update_breaker(job, outcome_kind(r), bb_clock_now_us());
 	if (r->end == BB_EXECUTION_FOREIGN)
 		bb_metrics_add(BB_METRIC_FOREIGN_ANSWERS, 1);
 	if (r->end == BB_EXECUTION_DONE || r->end == BB_EXECUTION_REFUSED)
