--- a/include/baobabward/directory.h
+++ b/include/baobabward/directory.h
@@ -54,6 +54,12 @@
 	int64_t started_ms;
 };
 
+/**
+ * bb_directory_entry_clear() - free the strings of an entry, which is empty then.
+ * @e: entry whose strings are owned by the caller
+ */
+void bb_directory_entry_clear(struct bb_directory_entry *e);
+
 /**
  * struct bb_directory_host - a host on which a node may run.
  * @address: IP address, unique
--- a/src/libmember/directory.c
+++ b/src/libmember/directory.c
@@ -118,7 +118,7 @@
 	bool changed;
 };
 
-static void entry_clear(struct bb_directory_entry *e)
+void bb_directory_entry_clear(struct bb_directory_entry *e)
 {
 	g_free(e->id);
 	g_free(e->service);
@@ -142,8 +142,8 @@
 {
 	struct item *i = data;
 
-	entry_clear(&i->entry);
-	entry_clear(&i->doubted);
+	bb_directory_entry_clear(&i->entry);
+	bb_directory_entry_clear(&i->doubted);
 	g_free(i);
 }
 
@@ -277,7 +277,7 @@
 		i->doubted_until_us = now_us + (i->entry.leaving ?
 							LATE_WRITE_US :
 							d->o.reregistration_us);
-	entry_clear(&i->doubted);
+	bb_directory_entry_clear(&i->doubted);
 	i->doubted = entry_copy(e);
 	if (!e->leaving || i->entry.leaving || e->started_ms == i->former_ms)
 		return;
@@ -332,7 +332,7 @@
 		return;
 	}
 	if (i)
-		entry_clear(&i->doubted);
+		bb_directory_entry_clear(&i->doubted);
 	put_entry(d, e, now_us);
 }
 
@@ -351,7 +351,7 @@
 
 	if (!i)
 		return;
-	entry_clear(&i->doubted);
+	bb_directory_entry_clear(&i->doubted);
 	i->drop_us = MIN(i->drop_us, drop_time(d, now_us));
 }
 
@@ -491,7 +491,7 @@
 
 		i->doubted = (struct bb_directory_entry){ 0 };
 		put_entry(s->directory, &e, s->now_us);
-		entry_clear(&e);
+		bb_directory_entry_clear(&e);
 	}
 	g_ptr_array_free(s->due_keys, TRUE);
 }
