Wire: load reports carry remaining work and speed

Cause: an entry node learns the state of a backend server only from answers to its own requests, and nothing on the wire tells how much work is left there.

Change: struct bb_load has work_us and speed_permille, EXECUTE has the expected cost of the request, RESULT the time that it spent in a slot, and WELCOME the load of the backend servers beside the node. BB_MESSAGE_BACKEND_REPORTS carries the same unasked. All new fields are 0 or empty until a module fills them in.

Result: test_wire passes with two new checks of decoded values; no behaviour changes.

--- a/include/baobabward/wire.h
+++ b/include/baobabward/wire.h
@@ -38,6 +38,8 @@
 /* Longest key and value of an item of the registry, in bytes. */
 #define BB_REGISTRY_KEY_MAX 256
 #define BB_REGISTRY_VALUE_MAX (1u << 20)
+/* Largest number of backend servers in one message of reports. */
+#define BB_REPORTS_MAX 256
 /* Largest encoded message, in bytes: a body and 1 MiB for everything else. */
 #define BB_WIRE_SIZE_MAX (BB_BODY_MAX + (1u << 20))
 /*
@@ -76,6 +78,7 @@
 	BB_MESSAGE_SUMMARY,
 	BB_MESSAGE_REGISTRY_READ,
 	BB_MESSAGE_REGISTRY_CHANGES,
+	BB_MESSAGE_BACKEND_REPORTS,
 	BB_MESSAGE_TYPE_COUNT
 };
 
@@ -118,12 +121,30 @@
  *         configured after a readmission and while it limits its rate
  * @avoid_for_us: time for which it should get no requests because it is
  *                ejected, leaving or backing off; 0 if it accepts them
+ * @work_us: expected time in slots that its running and queued requests still
+ *           need, 0 if unknown
+ * @speed_permille: expected time of the requests that it ran, in thousandths of
+ *                  the time that they took there; 0 if unknown
  */
 struct bb_load {
 	uint32_t in_flight;
 	uint32_t queued;
 	uint32_t slots;
 	int64_t avoid_for_us;
+	int64_t work_us;
+	uint32_t speed_permille;
+};
+
+/**
+ * struct bb_backend_report - load of a backend server beside the sender.
+ * @backend: its name
+ * @started_ms: when it started, which tells its starts apart; 0 if unknown
+ * @load: its load
+ */
+struct bb_backend_report {
+	struct bb_bytes backend;
+	uint64_t started_ms;
+	struct bb_load load;
 };
 
 /**
@@ -144,12 +165,29 @@
  * @config_version: version of its configuration
  * @nonce: of the HELLO
  * @receiver_clock_us: its clock when it answered
+ * @reports: load of the backend servers beside it
  */
 struct bb_message_welcome {
 	uint64_t incarnation;
 	uint64_t config_version;
 	uint64_t nonce;
 	int64_t receiver_clock_us;
+	struct bb_backend_report *reports;
+	size_t reports_nr;
+};
+
+/**
+ * struct bb_message_backend_reports - unasked load of backend servers beside the
+ * sender, to nodes that opened a session with it.
+ * @incarnation: of the sender
+ * @clock_us: its clock when it sent this
+ * @reports: backend servers whose state changed
+ */
+struct bb_message_backend_reports {
+	uint64_t incarnation;
+	int64_t clock_us;
+	struct bb_backend_report *reports;
+	size_t reports_nr;
 };
 
 /**
@@ -166,6 +204,8 @@
  * @limit_milli: limit that the backend server named in an answer to the sender,
  *               in thousandths of a request per second, 0 for none; holds if
  *               the receiver has had no answer from the backend server yet
+ * @cost_us: time in a slot that the sender expects the request to need on a
+ *           backend server of mean speed, 0 if unknown
  * @backend: name of the backend server
  * @account: name of the client account
  * @route: name of the route
@@ -180,6 +220,7 @@
 	bool last_resort;
 	bool may_wait;
 	uint32_t limit_milli;
+	int64_t cost_us;
 	struct bb_bytes backend;
 	struct bb_bytes account;
 	struct bb_bytes route;
@@ -200,6 +241,7 @@
  * @reason: why it failed or was refused, or BB_REASON_NONE
  * @status: HTTP status code of the response
  * @load: load of the backend server
+ * @service_us: time that the request spent in a slot, 0 if it did not run
  */
 struct bb_message_result {
 	struct bb_request_id id;
@@ -208,6 +250,7 @@
 	enum bb_reason reason;
 	uint32_t status;
 	struct bb_load load;
+	int64_t service_us;
 	struct bb_header *headers;
 	size_t headers_nr;
 	struct bb_bytes body;
@@ -761,6 +804,7 @@
 		struct bb_message_summary summary;
 		struct bb_message_registry_read registry_read;
 		struct bb_message_registry_changes registry_changes;
+		struct bb_message_backend_reports backend_reports;
 	};
 };
 
--- a/src/libwire/wire_layout.c
+++ b/src/libwire/wire_layout.c
@@ -65,13 +65,20 @@
 	LAYOUT(request_id_fields, struct bb_request_id);
 
 static const struct bb_field load_fields[] = {
-	F_U32(bb_load, in_flight),
-	F_U32(bb_load, queued),
-	F_U32(bb_load, slots),
-	F_I64(bb_load, avoid_for_us),
+	F_U32(bb_load, in_flight), F_U32(bb_load, queued),
+	F_U32(bb_load, slots),	   F_I64(bb_load, avoid_for_us),
+	F_I64(bb_load, work_us),   F_U32(bb_load, speed_permille),
 };
 static const struct bb_layout load = LAYOUT(load_fields, struct bb_load);
 
+static const struct bb_field backend_report_fields[] = {
+	F_BYTES(bb_backend_report, backend, BB_NAME_MAX),
+	F_U64(bb_backend_report, started_ms),
+	F_STRUCT(bb_backend_report, load, load),
+};
+static const struct bb_layout backend_report =
+	LAYOUT(backend_report_fields, struct bb_backend_report);
+
 static const struct bb_field header_fields[] = {
 	F_BYTES(bb_header, name, BB_HEADER_NAME_MAX),
 	F_BYTES(bb_header, value, BB_HEADER_VALUE_MAX),
@@ -103,6 +110,14 @@
 	F_U64(bb_message_welcome, config_version),
 	F_U64(bb_message_welcome, nonce),
 	F_I64(bb_message_welcome, receiver_clock_us),
+	F_LIST(bb_message_welcome, reports, BB_REPORTS_MAX, backend_report),
+};
+
+static const struct bb_field backend_reports_fields[] = {
+	F_U64(bb_message_backend_reports, incarnation),
+	F_I64(bb_message_backend_reports, clock_us),
+	F_LIST(bb_message_backend_reports, reports, BB_REPORTS_MAX,
+	       backend_report),
 };
 
 static const struct bb_field execute_fields[] = {
@@ -114,6 +129,7 @@
 	F_BOOL(bb_message_execute, last_resort),
 	F_BOOL(bb_message_execute, may_wait),
 	F_U32(bb_message_execute, limit_milli),
+	F_I64(bb_message_execute, cost_us),
 	F_BYTES(bb_message_execute, backend, BB_NAME_MAX),
 	F_BYTES(bb_message_execute, account, BB_NAME_MAX),
 	F_BYTES(bb_message_execute, route, BB_NAME_MAX),
@@ -131,6 +147,7 @@
 	F_ENUM(bb_message_result, reason, BB_REASON_COUNT),
 	F_U32_MAX(bb_message_result, status, STATUS_MAX),
 	F_STRUCT(bb_message_result, load, load),
+	F_I64(bb_message_result, service_us),
 	F_LIST(bb_message_result, headers, BB_HEADERS_MAX, header),
 	F_BYTES(bb_message_result, body, BB_BODY_MAX),
 };
@@ -387,6 +404,7 @@
 	LAYOUT(summary_fields, struct bb_message_summary),
 	LAYOUT(registry_read_fields, struct bb_message_registry_read),
 	LAYOUT(registry_changes_fields, struct bb_message_registry_changes),
+	LAYOUT(backend_reports_fields, struct bb_message_backend_reports),
 };
 
 static_assert(sizeof(bb_wire_layouts) / sizeof(*bb_wire_layouts) ==
@@ -399,7 +417,7 @@
 	"page",	   "lease-request",  "lease-grant",	 "lease-release",
 	"draw",	   "draw-grant",     "permit-request",	 "permit-grant",
 	"record",  "record-reply",   "record-transfer",	 "summary-request",
-	"summary", "registry-read",  "registry-changes",
+	"summary", "registry-read",  "registry-changes", "backend-reports",
 };
 
 static_assert(sizeof(bb_message_type_string) /
--- a/src/test_lib/test_wire.cc
+++ b/src/test_lib/test_wire.cc
@@ -32,6 +32,10 @@
 		{ bytes("servers/1"), bytes("{}"), 7, false },
 		{ bytes("servers/2"), { nullptr, 0 }, 8, true }
 	};
+	struct bb_backend_report reports[2] = {
+		{ bytes("b"), UINT64_MAX, { 1, 2, 3, 4, INT64_MAX, 1500 } },
+		{ bytes("c"), 0, {} }
+	};
 	struct bb_record_entry entries[2] = {};
 	struct bb_digest_section sections[2] = {
 		{ 7, 8, bytes("\x05\x80"), bytes("\x01\x02\xff"),
@@ -59,7 +63,7 @@
 
 		switch (m.type) {
 		case BB_MESSAGE_WELCOME:
-			m.welcome = { 1, 2, 3, -5 };
+			m.welcome = { 1, 2, 3, -5, reports, 2 };
 			break;
 		case BB_MESSAGE_EXECUTE:
 			m.execute = { id,
@@ -70,6 +74,7 @@
 				      true,
 				      true,
 				      6500,
+				      INT64_MAX,
 				      bytes("backend"),
 				      bytes("account"),
 				      bytes("route"),
@@ -86,7 +91,8 @@
 				     BB_VERDICT_MAY_HAVE_RUN,
 				     BB_REASON_INTERNAL,
 				     599,
-				     { 1, 2, 3, INT64_MIN },
+				     { 1, 2, 3, INT64_MIN, INT64_MAX, 1500 },
+				     840000,
 				     headers,
 				     2,
 				     bytes("body") };
@@ -162,6 +168,9 @@
 					       40, items,
 					       2 };
 			break;
+		case BB_MESSAGE_BACKEND_REPORTS:
+			m.backend_reports = { 1, INT64_MIN, reports, 2 };
+			break;
 		case BB_MESSAGE_RECORD_TRANSFER:
 			m.record_transfer = {
 				1,    BB_TRANSFER_PART, 9, 2, 4, 3,
@@ -227,6 +236,7 @@
 	EXPECT_TRUE(e->idempotent);
 	EXPECT_TRUE(e->last_resort);
 	EXPECT_TRUE(e->may_wait);
+	EXPECT_EQ(INT64_MAX, e->cost_us);
 	EXPECT_EQ("account", std::string(e->account.data, e->account.size));
 	ASSERT_EQ(2u, e->headers_nr);
 	EXPECT_EQ("*/*", std::string(e->headers[0].value.data,
@@ -241,6 +251,29 @@
 	EXPECT_EQ(BB_REASON_INTERNAL, r->reason);
 	EXPECT_EQ(599u, r->status);
 	EXPECT_EQ(INT64_MIN, r->load.avoid_for_us);
+	EXPECT_EQ(INT64_MAX, r->load.work_us);
+	EXPECT_EQ(1500u, r->load.speed_permille);
+	EXPECT_EQ(840000, r->service_us);
+	bb_decoded_message_delete(d);
+}
+
+// Guards against a report that loses the start or the load of its backend
+// server: an entry node would apply it to another process.
+TEST(Wire, DecodedValuesOfReports)
+{
+	Sample sample(BB_MESSAGE_BACKEND_REPORTS);
+	std::vector<char> copy;
+	struct bb_decoded_message *d = decode(encode(&sample.m), &copy);
+	const struct bb_message_backend_reports *m =
+		&bb_decoded_message_get(d)->backend_reports;
+
+	EXPECT_EQ(INT64_MIN, m->clock_us);
+	ASSERT_EQ(2u, m->reports_nr);
+	EXPECT_EQ(UINT64_MAX, m->reports[0].started_ms);
+	EXPECT_EQ(4, m->reports[0].load.avoid_for_us);
+	EXPECT_EQ(1500u, m->reports[0].load.speed_permille);
+	EXPECT_EQ("c", std::string(m->reports[1].backend.data,
+				   m->reports[1].backend.size));
 	bb_decoded_message_delete(d);
 }
 
