Executor: a failed connection leaves no descriptor behind

Cause: libcurl calls its close callback only for established connections. The socket of an attempt to connect that timed out or was cancelled stayed in the executor's table by its number, counted as idle, and was replaced by an unconnected socket when bytes arrived on whatever had that number by then. With libzmq's wake-up descriptor the process aborted (signaler.cpp:265).

Change: a connection is tracked beyond the request that opened it only if libcurl reported it as established, and a cancelled request releases it.

Result: Executor.DescriptorOfAFailedConnectionIsForgotten failed before in two of its three cases and passes; test_executor, test_connections and test_socket pass.

--- a/src/libnode/connections.c
+++ b/src/libnode/connections.c
@@ -18,6 +18,7 @@
  * @answered_us: time of the last answer on it, INT64_MIN for none
  * @user: request that uses it, NULL if it is idle
  * @requests_nr: number of requests that used it
+ * @established: it was established; its owner reports the close of such a one
  * @closing: the owner was told to close it
  */
 struct connection {
@@ -27,6 +28,7 @@
 	int64_t answered_us;
 	const void *user;
 	unsigned int requests_nr;
+	bool established;
 	bool closing;
 };
 
@@ -145,6 +147,15 @@
 	return use_of(fd, n);
 }
 
+void bb_connections_established(struct bb_connections *c,
+				const struct bb_connection_use *use)
+{
+	struct connection *n = find_used(c, use);
+
+	if (n)
+		n->established = true;
+}
+
 void bb_connections_closed(struct bb_connections *c, int fd)
 {
 	struct connection *n = find(c, fd);
@@ -180,8 +191,11 @@
 {
 	struct connection *n = find_used(c, use);
 
-	if (n && n->user == user)
-		n->user = NULL;
+	if (!n || n->user != user)
+		return;
+	n->user = NULL;
+	if (!n->established)
+		bb_connections_closed(c, use->fd);
 }
 
 static void close_idle(struct bb_connections *c, int fd, struct connection *n,
--- a/src/libnode/connections.h
+++ b/src/libnode/connections.h
@@ -11,6 +11,10 @@
  *
  * An idle connection on which bytes arrived is closed before the next request,
  * which would take them for its answer.
+ *
+ * Only established connections are tracked beyond the request that opened them.
+ * The socket of an attempt to connect that failed is closed without notice, and
+ * its descriptor then belongs to whoever opens one next.
  */
 #ifndef BB_NODE_CONNECTIONS_H
 #define BB_NODE_CONNECTIONS_H
@@ -96,6 +100,14 @@
 					       const void *user,
 					       int64_t now_us);
 
+/**
+ * bb_connections_established() - note that a connection was established.
+ * @c: connections
+ * @use: connection that the request uses
+ */
+void bb_connections_established(struct bb_connections *c,
+				const struct bb_connection_use *use);
+
 /**
  * bb_connections_closed() - remove a connection whose socket was closed.
  */
@@ -117,6 +129,8 @@
  * @c: connections
  * @use: connection that it used, which may be closed already
  * @user: as for bb_connections_use()
+ *
+ * A connection that was not established by then is removed.
  */
 void bb_connections_release(struct bb_connections *c,
 			    const struct bb_connection_use *use,
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -121,6 +121,7 @@
 {
 	struct bb_execution *x = data;
 
+	bb_connections_release(x->executor->connections, &x->connection, x);
 	curl_multi_remove_handle(x->executor->multi, x->easy);
 	curl_easy_cleanup(x->easy);
 	x->executor->body_bytes -= x->response_body->len;
@@ -384,11 +385,26 @@
 			       "cannot set TCP_USER_TIMEOUT of a connection to "
 			       "a backend server: %s; using the default",
 			       g_strerror(errno));
+	bb_connections_release(x->executor->connections, &x->connection, x);
 	x->connection = bb_connections_opened(x->executor->connections, fd,
 					      x->origin, x, bb_clock_now_us());
 	return fd;
 }
 
+/* libcurl calls this when the request has an established connection. */
+static int on_connected(void *data, char *remote_address, char *local_address,
+			int remote_port, int local_port)
+{
+	struct bb_execution *x = data;
+
+	(void)remote_address;
+	(void)local_address;
+	(void)remote_port;
+	(void)local_port;
+	bb_connections_established(x->executor->connections, &x->connection);
+	return CURL_PREREQFUNC_OK;
+}
+
 static int on_close_socket(void *data, curl_socket_t fd)
 {
 	struct bb_executor *e = data;
@@ -602,7 +618,10 @@
 	curl_easy_setopt(c, CURLOPT_HEADERDATA, x);
 	curl_easy_setopt(c, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
 	curl_easy_setopt(c, CURLOPT_OPENSOCKETDATA, x);
-	/* The connection, and so this callback, may outlive the execution. */
+	curl_easy_setopt(c, CURLOPT_PREREQFUNCTION, on_connected);
+	curl_easy_setopt(c, CURLOPT_PREREQDATA, x);
+	/* The connection, and so this callback, may outlive the execution.
+	 * libcurl does not call it for one that was never established. */
 	curl_easy_setopt(c, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
 	curl_easy_setopt(c, CURLOPT_CLOSESOCKETDATA, x->executor);
 	if (r->at_most_once ||
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -212,8 +212,10 @@
 		g_main_context_unref(context);
 	}
 	// @result must outlive the request.
-	void start(const std::string &url, const std::string &id,
-		   Result *result, bool once = false)
+	struct bb_execution *start(const std::string &url,
+				   const std::string &id, Result *result,
+				   bool once = false,
+				   int64_t timeout_us = 10000000)
 	{
 		struct bb_header h = { { "X-Id", 4 },
 				       { id.data(), id.size() } };
@@ -224,11 +226,12 @@
 		r.method = { "GET", 3 };
 		r.headers = &h;
 		r.headers_nr = id.empty() ? 0 : 1;
-		r.timeout_us = 10000000;
+		r.timeout_us = timeout_us;
 		r.max_body = 100;
 		r.at_most_once = once;
 		r.dialect = &kDialect;
-		bb_executor_start(executor, &r, keep_result, result, nullptr);
+		return bb_executor_start(executor, &r, keep_result, result,
+					 nullptr);
 	}
 	void wait(const Result &result)
 	{
@@ -391,6 +394,112 @@
 	}
 }
 
+namespace
+{
+
+// A connected pair of sockets with a byte to be read at either end.
+struct UnreadPair {
+	int ends[2] = { -1, -1 };
+
+	UnreadPair()
+	{
+		struct sockaddr_in a = {};
+		socklen_t size = sizeof(a);
+		std::string url;
+		int listening;
+
+		/* Takes the lowest free number. */
+		ends[0] = socket(AF_INET, SOCK_STREAM, 0);
+		listening = listening_socket(&url);
+		getsockname(listening, (struct sockaddr *)&a, &size);
+		EXPECT_EQ(0, connect(ends[0], (struct sockaddr *)&a, size));
+		ends[1] = accept(listening, nullptr, nullptr);
+		close(listening);
+		for (int fd : ends)
+			EXPECT_EQ(1, send(fd, "x", 1, MSG_NOSIGNAL));
+	}
+	~UnreadPair()
+	{
+		for (int fd : ends)
+			close(fd);
+	}
+	bool is_intact() const
+	{
+		char byte;
+
+		for (int fd : ends) {
+			if (recv(fd, &byte, 1, MSG_PEEK) != 1)
+				return false;
+		}
+		return true;
+	}
+};
+
+// A listening socket whose queue of connections is full, so that no further
+// one is established.
+struct FullListener {
+	std::string url;
+	int fd = listening_socket(&url);
+	std::vector<int> waiting;
+
+	FullListener()
+	{
+		struct sockaddr_in a = {};
+		socklen_t size = sizeof(a);
+
+		getsockname(fd, (struct sockaddr *)&a, &size);
+		listen(fd, 0);
+		for (int i = 0; i < 4; i++) {
+			waiting.push_back(socket(
+				AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+			connect(waiting.back(), (struct sockaddr *)&a, size);
+		}
+	}
+	~FullListener()
+	{
+		close(fd);
+		for (int w : waiting)
+			close(w);
+	}
+};
+
+} // namespace
+
+// Guards against a socket of another module being replaced. libcurl closes the
+// socket of a connection that was never established without its callback; the
+// descriptor then belongs to whoever opens one next, such as libzmq, which ends
+// the process when its wake-up descriptor has gone.
+TEST(Executor, DescriptorOfAFailedConnectionIsForgotten)
+{
+	enum { TIMED_OUT, CANCELLED, CANCELLED_TIMED_OUT };
+
+	for (int end : { TIMED_OUT, CANCELLED, CANCELLED_TIMED_OUT }) {
+		FullListener server;
+		Caller caller;
+		Result first, second;
+		struct bb_execution *x =
+			caller.start(server.url, "", &first, false, 200000);
+
+		if (end == TIMED_OUT) {
+			caller.wait(first);
+			EXPECT_EQ(BB_EXECUTION_NOT_SENT, first.end);
+		} else {
+			for (int i = 0; i < 20; i++)
+				g_main_context_iteration(caller.context, FALSE);
+			ASSERT_FALSE(first.done);
+			if (end == CANCELLED)
+				bb_executor_cancel(x);
+			else
+				bb_executor_cancel_timed_out(x);
+		}
+		std::vector<UnreadPair> pairs(4);
+
+		caller.start(server.url, "", &second);
+		for (const UnreadPair &p : pairs)
+			EXPECT_TRUE(p.is_intact()) << end;
+	}
+}
+
 // Guards against an answer without a length that this end cuts off, and that
 // is passed on as complete, after its request was sent again on a new connection
 // with the descriptor of the former one.
