Config: policies switch functions on for a deployment

Cause: functions that answer the load of one deployment must not change how the others are served, and the settings of a process cannot tell them apart.

Change: a document may have the object "policies", which is checked, written and compared like its other settings.

No module reads the policies yet.

--- a/include/baobabward/config.h
+++ b/include/baobabward/config.h
@@ -248,6 +248,22 @@
 	size_t key_hashes_nr;
 };
 
+/**
+ * struct bb_policies - functions that a deployment asks for; 0 switches each off.
+ * @report_bytes_per_s: bytes per second that a node may send to tell others of
+ *                      the state of the backend servers beside it
+ * @place_by_cost: 1 to place requests by their expected cost and bytes
+ * @rank_order: 1 to order waiting requests by rank
+ * @reuse_ms: a non-idempotent request may use a connection to a backend server
+ *            that was last used at most so long ago
+ */
+struct bb_policies {
+	uint32_t report_bytes_per_s;
+	uint32_t place_by_cost;
+	uint32_t rank_order;
+	uint32_t reuse_ms;
+};
+
 /**
  * struct bb_config - a snapshot.
  * @version: version number, which increases with every publication
@@ -255,6 +271,7 @@
  *            hosts and backend servers discovered so far; 0 for documents
  * @automation: automatic actions are allowed
  * @idempotency_window_ms: how long an idempotency key is remembered
+ * @policies: functions that the deployment asks for
  * @seats_hash: hash of the host names in the order of the document
  * @hosts_version: all versions from this one up to @version list the same
  *                 hosts, as far as is known; 0 if nothing is known
@@ -271,6 +288,7 @@
 	uint64_t revision;
 	bool automation;
 	uint32_t idempotency_window_ms;
+	struct bb_policies policies;
 	uint64_t seats_hash;
 	uint64_t hosts_version;
 	uint64_t hosts_version_before;
--- a/src/libconfig/config_internal.h
+++ b/src/libconfig/config_internal.h
@@ -236,6 +236,37 @@
  */
 void bb_config_write_settings(GString *out, const struct bb_config *c);
 
+/* policies.c */
+
+/**
+ * bb_policies_read() - read the policies of a document.
+ * @p: filled in; a policy that is not named is 0
+ * @root: the document
+ * @err: names the policy and the rule on failure
+ *
+ * Return: 0, or -1.
+ */
+int bb_policies_read(struct bb_policies *p, json_t *root, struct bb_error *err);
+
+/**
+ * bb_policies_write() - append the policies that are not 0 as a field of an
+ * object.
+ */
+void bb_policies_write(GString *out, const struct bb_policies *p);
+
+/**
+ * bb_policy_change_fn() - callback for a policy that differs.
+ */
+typedef void bb_policy_change_fn(void *data, const char *name, uint32_t before,
+				 uint32_t after);
+
+/**
+ * bb_policies_diff() - compare the policies of two documents.
+ */
+void bb_policies_diff(const struct bb_policies *before,
+		      const struct bb_policies *after, bb_policy_change_fn *fn,
+		      void *data);
+
 const void *bb_config_row(const struct bb_config *c, enum bb_table table,
 			  size_t i);
 size_t bb_config_rows_nr(const struct bb_config *c, enum bb_table table);
--- a/src/libconfig/config_parse.c
+++ b/src/libconfig/config_parse.c
@@ -179,7 +179,7 @@
 		return bb_location_error(&location, err,
 					 "value is not true or false");
 	b->config->automation = json_is_true(automation);
-	return 0;
+	return bb_policies_read(&b->config->policies, (json_t *)root, err);
 }
 
 static int add_endpoint(struct bb_config_builder *b, const struct bb_host *h,
@@ -503,10 +503,10 @@
 
 int bb_config_check_fields(json_t *root, bool tables, struct bb_error *err)
 {
-	static const char *const known[] = { "version", "automation",
-					     "idempotency_window_ms",
-					     "hosts_version",
-					     "hosts_version_before" };
+	static const char *const known[] = {
+		"version",  "automation",    "idempotency_window_ms",
+		"policies", "hosts_version", "hosts_version_before"
+	};
 	const struct bb_location location = { "document", 0, NULL, NULL };
 	const char *field;
 	json_t *value;
--- a/src/libconfig/config_write.c
+++ b/src/libconfig/config_write.c
@@ -188,6 +188,7 @@
 			       c->idempotency_window_ms);
 	write_version(out, "hosts_version", c->hosts_version);
 	write_version(out, "hosts_version_before", c->hosts_version_before);
+	bb_policies_write(out, &c->policies);
 }
 
 char *bb_config_to_json(const struct bb_config *c)
--- a/src/libconfig/diff.c
+++ b/src/libconfig/diff.c
@@ -24,6 +24,16 @@
 		d->fn(d->context, &change);
 }
 
+static void report_policy(void *data, const char *name, uint32_t before,
+			  uint32_t after)
+{
+	char old[16], new[16];
+
+	g_snprintf(old, sizeof(old), "%u", before);
+	g_snprintf(new, sizeof(new), "%u", after);
+	report(data, "policies", NULL, name, old, new);
+}
+
 static void diff_settings(struct diff *d)
 {
 	const struct bb_config *a = d->before;
@@ -35,6 +45,7 @@
 		report(d, "document", NULL, "automation",
 		       a->automation ? "true" : "false",
 		       b->automation ? "true" : "false");
+	bb_policies_diff(&a->policies, &b->policies, report_policy, d);
 	if (a->idempotency_window_ms == b->idempotency_window_ms)
 		return;
 	g_snprintf(before, sizeof(before), "%u", a->idempotency_window_ms);
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <cstring>
 
+#include "baobabward/table.h"
 #include "config_fixture.h"
 
 static std::string replaced(std::string s, const std::string &from,
@@ -481,6 +482,14 @@
 		  "document, column automation: value is not true or false" },
 		{ ",\"idempotency", ",\"x\":1,\"idempotency",
 		  "document: unknown field \"x\"" },
+		{ ",\"idempotency", ",\"policies\":1,\"idempotency",
+		  "document, column policies: value is not an object" },
+		{ ",\"idempotency", ",\"policies\":{\"x\":1},\"idempotency",
+		  "document, column policies: unknown policy \"x\"" },
+		{ ",\"idempotency",
+		  ",\"policies\":{\"rank_order\":2},\"idempotency",
+		  "document, column policies: rank_order is not a whole number "
+		  "from 0 to 1" },
 	};
 
 	for (const Fault &f : faults) {
@@ -498,6 +507,35 @@
 	EXPECT_EQ("hosts: at least one host is needed", why);
 }
 
+// Guards against a policy that is lost or swapped on the way through a document,
+// and against one that is in force without being asked for.
+TEST(Config, PoliciesAreKept)
+{
+	std::string why;
+	auto plain = parse(Document().json(), &why);
+	auto c = parse(replaced(Document().json(), ",\"idempotency",
+				",\"policies\":{\"report_bytes_per_s\":1500,"
+				"\"place_by_cost\":1,\"rank_order\":1,"
+				"\"reuse_ms\":100},\"idempotency"),
+		       &why);
+
+	ASSERT_TRUE(c) << why;
+	char *json = bb_config_to_json(c.get());
+	auto again = parse(json, &why);
+
+	free(json);
+	ASSERT_TRUE(again) << why;
+	EXPECT_EQ(1500u, again->policies.report_bytes_per_s);
+	EXPECT_EQ(1u, again->policies.place_by_cost);
+	EXPECT_EQ(1u, again->policies.rank_order);
+	EXPECT_EQ(100u, again->policies.reuse_ms);
+	EXPECT_EQ(0u, plain->policies.report_bytes_per_s);
+	EXPECT_EQ(0u, plain->policies.place_by_cost);
+	EXPECT_EQ(0u, plain->policies.rank_order);
+	EXPECT_EQ(0u, plain->policies.reuse_ms);
+	EXPECT_EQ(4u, bb_config_diff(plain.get(), c.get(), nullptr, nullptr));
+}
+
 // Guards against a key in an error message, which is logged: an operator may
 // paste a key into any field.
 TEST(Config, ErrorsShowNoKey)
