Executor: bookings use kept connections within a short idle time

Change: with the policy reuse_ms such a request uses a connection that answered at most so long ago. It is ended when libcurl would send it a second time, on a new connection or on another kept one, and moved to a new connection before it is sent if the kept one was idle for longer. Without the policy nothing changes.

Result: three new cases in test_executor pass, among them one in which the kept connection is reset with and without another one to send on (sent once in both); test_connections and test_adjacent pass.

--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -34,6 +34,7 @@
  * @refusal: why its queue refused it
  * @started_us: when it was sent to the backend server
  * @backend_started_ms: when the backend server had started by then
+ * @reuse_us: see struct bb_execution_request
  */
 struct bb_job {
 	struct bb_adjacent *adjacent;
@@ -47,6 +48,7 @@
 	enum bb_reason refusal;
 	int64_t started_us;
 	double backend_started_ms;
+	int64_t reuse_us;
 };
 
 static void free_backend(void *data)
@@ -202,7 +204,7 @@
 		bb_queue_connection_closed(b->queue);
 		bb_queue_connection_opened(b->queue, bb_clock_now_us());
 	}
-	if (kept && job->request.idempotent)
+	if (kept && (job->request.idempotent || job->reuse_us))
 		b->idle_connections++;
 	else
 		bb_queue_connection_closed(b->queue);
@@ -462,6 +464,7 @@
 		.max_body = route ? MIN(route->max_body_bytes, BB_BODY_MAX) :
 				    BB_BODY_MAX,
 		.at_most_once = !job->request.idempotent,
+		.reuse_us = job->reuse_us,
 		.dialect = a->o.dialect,
 		.backend_id = b->name,
 	};
@@ -598,7 +601,11 @@
 	job->queue_entry.weight = account ? account->weight : 1.0;
 	job->queue_entry.not_after_us = job->request.not_after_us;
 	job->queue_entry.idempotent = job->request.idempotent;
-	job->queue_entry.needs_new_connection = !job->request.idempotent;
+	if (!job->request.idempotent)
+		job->reuse_us =
+			a->snapshot->config->policies.reuse_ms * BB_US_PER_MS;
+	job->queue_entry.needs_new_connection = !job->request.idempotent &&
+						!job->reuse_us;
 	set_max_wait(a, job, now_us);
 }
 
--- a/src/libnode/connections.c
+++ b/src/libnode/connections.c
@@ -16,6 +16,7 @@
  * @origin: backend server that it leads to
  * @opened_us: time of its opening
  * @answered_us: time of the last answer on it, INT64_MIN for none
+ * @local_port: port of its end on this host, 0 until it is established
  * @user: request that uses it, NULL if it is idle
  * @requests_nr: number of requests that used it
  * @established: it was established; its owner reports the close of such a one
@@ -26,6 +27,7 @@
 	struct origin *origin;
 	int64_t opened_us;
 	int64_t answered_us;
+	unsigned int local_port;
 	const void *user;
 	unsigned int requests_nr;
 	bool established;
@@ -148,12 +150,53 @@
 }
 
 void bb_connections_established(struct bb_connections *c,
-				const struct bb_connection_use *use)
+				const struct bb_connection_use *use,
+				unsigned int local_port)
 {
 	struct connection *n = find_used(c, use);
 
-	if (n)
-		n->established = true;
+	if (!n)
+		return;
+	n->established = true;
+	n->local_port = local_port;
+}
+
+/* @local_port: 0 for any */
+static int64_t least_idle_us(const struct bb_connections *c, const char *origin,
+			     unsigned int local_port, int64_t now_us)
+{
+	const struct origin *o = g_hash_table_lookup(c->origins, origin);
+	int64_t least_us = INT64_MAX;
+	GHashTableIter i;
+	gpointer value;
+
+	if (!o)
+		return least_us;
+	g_hash_table_iter_init(&i, c->by_fd);
+	while (g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct connection *n = value;
+
+		if (n->origin != o || n->user || n->closing ||
+		    n->answered_us == INT64_MIN ||
+		    (local_port && n->local_port != local_port))
+			continue;
+		least_us = MIN(least_us, now_us - n->answered_us);
+	}
+	return least_us;
+}
+
+int64_t bb_connections_idle_us(const struct bb_connections *c,
+			       const char *origin, unsigned int local_port,
+			       int64_t now_us)
+{
+	return local_port ? least_idle_us(c, origin, local_port, now_us) :
+			    INT64_MAX;
+}
+
+int64_t bb_connections_least_idle_us(const struct bb_connections *c,
+				     const char *origin, int64_t now_us)
+{
+	return least_idle_us(c, origin, 0, now_us);
 }
 
 void bb_connections_closed(struct bb_connections *c, int fd)
--- a/src/libnode/connections.h
+++ b/src/libnode/connections.h
@@ -104,9 +104,32 @@
  * bb_connections_established() - note that a connection was established.
  * @c: connections
  * @use: connection that the request uses
+ * @local_port: port of its end on this host
  */
 void bb_connections_established(struct bb_connections *c,
-				const struct bb_connection_use *use);
+				const struct bb_connection_use *use,
+				unsigned int local_port);
+
+/**
+ * bb_connections_idle_us() - time since the last answer on an idle connection.
+ * @c: connections
+ * @origin: URL of the backend server
+ * @local_port: port of its end on this host
+ * @now_us: current time
+ *
+ * Return: time, INT64_MAX if there is no such connection, or none that was idle
+ * and has answered.
+ */
+int64_t bb_connections_idle_us(const struct bb_connections *c,
+			       const char *origin, unsigned int local_port,
+			       int64_t now_us);
+
+/**
+ * bb_connections_least_idle_us() - the same for the connection to a backend
+ * server that answered last.
+ */
+int64_t bb_connections_least_idle_us(const struct bb_connections *c,
+				     const char *origin, int64_t now_us);
 
 /**
  * bb_connections_closed() - remove a connection whose socket was closed.
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -73,6 +73,12 @@
  * @body: copy of the request body
  * @max_body: limit on the response body in bytes
  * @connection: connection in use
+ * @at_most_once: it must not be sent twice
+ * @reuse_us: see struct bb_execution_request
+ * @opened: it opened a connection
+ * @sent: it had an established connection, so that it may have been sent
+ * @ended: why this end ended it before it was sent (again): it must not be sent
+ *         twice, or the connection was idle for too long
  * @got_bytes: a byte of the response was received
  * @head_bytes: size of all heads and trailers so far
  * @head_complete: the head of the final response was received
@@ -85,6 +91,7 @@
  * @foreign_id: request id in the response if it is that of another request, or
  *              NULL
  * @started_us: when the request was started
+ * @timeout_us: limit on the time from then
  * @detail: error text of libcurl
  */
 struct bb_execution {
@@ -96,6 +103,11 @@
 	char *body;
 	size_t max_body;
 	struct bb_connection_use connection;
+	bool at_most_once;
+	int64_t reuse_us;
+	bool opened;
+	bool sent;
+	enum { NOT_ENDED, SENT_ALREADY, IDLE_TOO_LONG } ended;
 	bool got_bytes;
 	bool too_large;
 	size_t head_bytes;
@@ -109,6 +121,7 @@
 	bool identified;
 	char *foreign_id;
 	int64_t started_us;
+	int64_t timeout_us;
 	GByteArray *response_body;
 	GString *response_head;
 	GArray *response_headers;
@@ -151,6 +164,8 @@
 
 	if (is_foreign(x))
 		return BB_EXECUTION_FOREIGN;
+	if (x->ended == SENT_ALREADY)
+		return BB_EXECUTION_BROKEN;
 	if (x->head_complete && status == HTTP_MISDIRECTED &&
 	    x->dialect->backend_id)
 		return BB_EXECUTION_MISDIRECTED;
@@ -274,6 +289,27 @@
 	g_hash_table_remove(x->executor->executions, x);
 }
 
+/*
+ * Starts an execution again, on a new connection, that was ended before it was
+ * sent because the connection may have been forgotten by the backend server.
+ */
+static bool start_on_new_connection(struct bb_execution *x)
+{
+	int64_t left_us = x->started_us + x->timeout_us - bb_clock_now_us();
+
+	if (x->ended != IDLE_TOO_LONG || left_us < BB_US_PER_MS)
+		return false;
+	bb_connections_release(x->executor->connections, &x->connection, x);
+	x->connection = (struct bb_connection_use){ 0 };
+	x->ended = NOT_ENDED;
+	x->detail[0] = '\0';
+	curl_multi_remove_handle(x->executor->multi, x->easy);
+	curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(x->easy, CURLOPT_TIMEOUT_MS,
+			 (long)(left_us / BB_US_PER_MS));
+	return curl_multi_add_handle(x->executor->multi, x->easy) == CURLM_OK;
+}
+
 static void finish_completed(struct bb_executor *e)
 {
 	CURLMsg *m;
@@ -284,8 +320,12 @@
 
 		if (m->msg != CURLMSG_DONE)
 			continue;
+		/* Not valid after a change of the handle. */
+		CURLcode code = m->data.result;
+
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &x);
-		finish_execution(x, m->data.result);
+		if (!start_on_new_connection(x))
+			finish_execution(x, code);
 	}
 }
 
@@ -373,6 +413,11 @@
 	(void)purpose;
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
+	if (x->at_most_once && x->sent) {
+		x->ended = SENT_ALREADY;
+		close(fd);
+		return CURL_SOCKET_BAD;
+	}
 	if (x->connection.serial) {
 		bb_metrics_add(BB_METRIC_REQUESTS_RESENT, 1);
 		bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, x->request_id,
@@ -388,10 +433,24 @@
 	bb_connections_release(x->executor->connections, &x->connection, x);
 	x->connection = bb_connections_opened(x->executor->connections, fd,
 					      x->origin, x, bb_clock_now_us());
+	x->opened = true;
 	return fd;
 }
 
-/* libcurl calls this when the request has an established connection. */
+/* Whether the connection, opened by an earlier request, was idle for longer than
+ * a request that cannot be sent again may use. */
+static bool is_idle_too_long(const struct bb_execution *x, int local_port)
+{
+	return x->at_most_once && !x->opened &&
+	       bb_connections_idle_us(x->executor->connections, x->origin,
+				      (unsigned int)local_port,
+				      bb_clock_now_us()) > x->reuse_us;
+}
+
+/*
+ * libcurl calls this when the request has an established connection, before it
+ * is sent, also before it is sent again because the connection was closed.
+ */
 static int on_connected(void *data, char *remote_address, char *local_address,
 			int remote_port, int local_port)
 {
@@ -400,8 +459,15 @@
 	(void)remote_address;
 	(void)local_address;
 	(void)remote_port;
-	(void)local_port;
-	bb_connections_established(x->executor->connections, &x->connection);
+	if (x->at_most_once && x->sent)
+		x->ended = SENT_ALREADY;
+	else if (is_idle_too_long(x, local_port))
+		x->ended = IDLE_TOO_LONG;
+	if (x->ended != NOT_ENDED)
+		return CURL_PREREQFUNC_ABORT;
+	x->sent = true;
+	bb_connections_established(x->executor->connections, &x->connection,
+				   (unsigned int)local_port);
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -588,6 +654,17 @@
 	x->headers = curl_slist_append(x->headers, "Accept-Encoding:");
 }
 
+static bool needs_new_connection(const struct bb_execution *x)
+{
+	const struct bb_connections *c = x->executor->connections;
+
+	if (bb_connections_avoid_reuse(c, x->origin))
+		return true;
+	return x->at_most_once &&
+	       bb_connections_least_idle_us(c, x->origin, x->started_us) >
+		       x->reuse_us;
+}
+
 static void set_options(struct bb_execution *x,
 			const struct bb_execution_request *r)
 {
@@ -624,10 +701,9 @@
 	 * libcurl does not call it for one that was never established. */
 	curl_easy_setopt(c, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
 	curl_easy_setopt(c, CURLOPT_CLOSESOCKETDATA, x->executor);
-	if (r->at_most_once ||
-	    bb_connections_avoid_reuse(x->executor->connections, x->origin))
+	if (needs_new_connection(x))
 		curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 1L);
-	if (r->at_most_once)
+	if (r->at_most_once && !r->reuse_us)
 		curl_easy_setopt(c, CURLOPT_FORBID_REUSE, 1L);
 	if (!strcmp(method, "HEAD")) {
 		curl_easy_setopt(c, CURLOPT_NOBODY, 1L);
@@ -679,6 +755,9 @@
 	x->max_body = r->max_body;
 	x->dialect = r->dialect ? r->dialect : &bb_dialect_default;
 	x->started_us = bb_clock_now_us();
+	x->at_most_once = r->at_most_once;
+	x->reuse_us = r->reuse_us;
+	x->timeout_us = r->timeout_us;
 	x->origin = g_strdup(r->url);
 	x->url = g_strdup_printf("%s%.*s", r->url, (int)r->target.size,
 				 r->target.data);
@@ -691,7 +770,7 @@
 	x->response_headers =
 		g_array_new(FALSE, FALSE, sizeof(struct bb_header));
 	x->easy = curl_easy_init();
-	if (!r->at_most_once)
+	if (!r->at_most_once || r->reuse_us)
 		close_unsolicited(e, r->url);
 	if (x->easy)
 		set_options(x, r);
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -2,8 +2,10 @@
  * Sends requests to backend servers with libcurl on the main loop of a thread.
  *
  * libcurl re-sends a request by itself when a reused connection is closed
- * before the first byte of the response. A request that must run at most once
- * therefore gets a new connection, on which libcurl never re-sends.
+ * before the first byte of the response. A request that must run at most once is
+ * ended instead, before it is sent again. It uses a kept connection only if that
+ * was idle for a short time, within which the backend server has not forgotten
+ * it; otherwise it gets a new one.
  *
  * A backend server in trouble may send bytes without end. A head, with interim
  * responses and trailers, and a body are read up to a limit, and the bodies of
@@ -97,7 +99,9 @@
  * @traceparent: value of the header of that name, empty to send none
  * @timeout_us: limit on the time of the whole exchange
  * @max_body: limit on the response body in bytes
- * @at_most_once: the request must not be sent twice; uses a new connection
+ * @at_most_once: the request must not be sent twice
+ * @reuse_us: longest time since the last answer on a connection that such a
+ *            request uses; 0 for a new connection, which is not kept
  * @dialect: names of headers, NULL for the default
  * @backend_id: name of the backend server to send, NULL to send none
  * @long_poll: the answer may take long; a connection that went silent meanwhile
@@ -114,6 +118,7 @@
 	int64_t timeout_us;
 	size_t max_body;
 	bool at_most_once;
+	int64_t reuse_us;
 	const struct bb_dialect *dialect;
 	const char *backend_id;
 	bool long_poll;
--- a/src/test_lib/test_connections.cc
+++ b/src/test_lib/test_connections.cc
@@ -41,7 +41,7 @@
 		struct bb_connection_use use =
 			bb_connections_opened(c, fd, origin, this, opened);
 
-		bb_connections_established(c, &use);
+		bb_connections_established(c, &use, 1);
 		bb_connections_answered(c, &use, origin, answered);
 		bb_connections_release(c, &use, this);
 		return use;
@@ -192,7 +192,7 @@
 	x.used(5, 10, 40);
 	bb_connections_use(x.c, 5, &x, &busy);
 	sixth = bb_connections_opened(x.c, 6, "a", &x, 110);
-	bb_connections_established(x.c, &sixth);
+	bb_connections_established(x.c, &sixth, 1);
 	bb_connections_release(x.c, &sixth, &x);
 	bb_connections_answered(x.c, &third, "a", 120);
 	bb_connections_closed(x.c, 1);
@@ -259,7 +259,7 @@
 	EXPECT_EQ(10, use.opened_us);
 	bb_connections_closed(x.c, 1);
 	use = bb_connections_opened(x.c, 1, "a", &request, 50);
-	bb_connections_established(x.c, &use);
+	bb_connections_established(x.c, &use, 1);
 	bb_connections_use(x.c, 1, &request, &use);
 	EXPECT_EQ(50, use.opened_us);
 	EXPECT_EQ(0u, bb_connections_close_unsolicited(x.c, "a", [](int) {
@@ -281,7 +281,7 @@
 	first = bb_connections_opened(x.c, 1, "a", &x, 10);
 	bb_connections_closed(x.c, 1);
 	second = bb_connections_opened(x.c, 1, "a", &x, 50);
-	bb_connections_established(x.c, &second);
+	bb_connections_established(x.c, &second, 1);
 	bb_connections_release(x.c, &second, &x);
 	bb_connections_answered(x.c, &first, "a", 110);
 	EXPECT_EQ(1u, bb_connections_request_timed_out(x.c, "a", 100));
@@ -297,7 +297,7 @@
 
 	failed = bb_connections_opened(x.c, 1, "a", &one, 10);
 	good = bb_connections_opened(x.c, 2, "a", &other, 10);
-	bb_connections_established(x.c, &good);
+	bb_connections_established(x.c, &good, 1);
 	bb_connections_release(x.c, &failed, &one);
 	bb_connections_release(x.c, &good, &other);
 	EXPECT_EQ(1u, bb_connections_close_unsolicited(x.c, "a", [](int) {
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -215,7 +215,8 @@
 	struct bb_execution *start(const std::string &url,
 				   const std::string &id, Result *result,
 				   bool once = false,
-				   int64_t timeout_us = 10000000)
+				   int64_t timeout_us = 10000000,
+				   int64_t reuse_us = 0)
 	{
 		struct bb_header h = { { "X-Id", 4 },
 				       { id.data(), id.size() } };
@@ -229,6 +230,7 @@
 		r.timeout_us = timeout_us;
 		r.max_body = 100;
 		r.at_most_once = once;
+		r.reuse_us = reuse_us;
 		r.dialect = &kDialect;
 		return bb_executor_start(executor, &r, keep_result, result,
 					 nullptr);
@@ -247,6 +249,16 @@
 		wait(result);
 		return result;
 	}
+	// A request that runs once and may use a kept connection.
+	Result book(const std::string &url, const std::string &id,
+		    int64_t reuse_us)
+	{
+		Result result;
+
+		start(url, id, &result, true, 10000000, reuse_us);
+		wait(result);
+		return result;
+	}
 };
 
 } // namespace
@@ -588,6 +600,81 @@
 	EXPECT_EQ(6, s.connections);
 }
 
+// Guards against a new connection for each booking where kept ones may be used,
+// and against one on a connection that may have been forgotten.
+TEST(Executor, RequestThatRunsOnceUsesARecentConnection)
+{
+	const int64_t any_us = 1000000000;
+	KeepingServer s([&](int fd, int connection, int) {
+		send_text(fd, answer("one", std::to_string(connection)));
+	});
+	Caller c;
+
+	EXPECT_EQ("0", c.book(s.url, "one", any_us).body);
+	EXPECT_EQ("0", c.book(s.url, "one", any_us).body);
+	EXPECT_EQ("0", c.get(s.url, "one").body);
+	EXPECT_EQ("0", c.book(s.url, "one", any_us).body);
+	usleep(2000);
+	EXPECT_EQ("1", c.book(s.url, "one", 1).body);
+	EXPECT_EQ(2, s.connections);
+}
+
+// Guards against a booking that runs twice because its kept connection was
+// closed without an answer, with another one to send it on or without.
+TEST(Executor, RequestThatRunsOnceIsNotSentAgain)
+{
+	for (int kept : { 1, 2 }) {
+		std::atomic<int> received{ 0 };
+		KeepingServer s([&](int fd, int, int request) {
+			received++;
+			if (request == 0) {
+				while (received < kept)
+					usleep(1000);
+				send_text(fd, answer("one", "1"));
+			} else {
+				reset_connection(fd);
+			}
+		});
+		Caller c;
+		std::vector<Result> first((size_t)kept);
+
+		for (Result &r : first)
+			c.start(s.url, "one", &r);
+		for (Result &r : first)
+			c.wait(r);
+		EXPECT_EQ(BB_EXECUTION_BROKEN,
+			  c.book(s.url, "one", 1000000000).end);
+		EXPECT_EQ(kept, s.connections);
+		EXPECT_EQ(kept + 1, received);
+	}
+}
+
+// Guards against a booking on a connection that was idle for too long, which
+// libcurl prefers to one that answered a moment ago.
+TEST(Executor, RequestThatRunsOnceLeavesAnOldConnection)
+{
+	std::atomic<int> received{ 0 };
+	KeepingServer s([&](int fd, int connection, int request) {
+		received++;
+		while (request == 0 && received < 2)
+			usleep(1000);
+		if (request == 0 && connection == 1)
+			usleep(100000);
+		send_text(fd, answer("one", std::to_string(connection)));
+	});
+	Caller c;
+	Result first, second;
+
+	c.start(s.url, "one", &first);
+	c.start(s.url, "one", &second);
+	c.wait(first);
+	c.wait(second);
+	Result booking = c.book(s.url, "one", 50000);
+
+	EXPECT_EQ(BB_EXECUTION_DONE, booking.end);
+	EXPECT_NE("0", booking.body);
+}
+
 // Guards against a second copy of an answer, or a part of one, that comes right
 // behind the answer and is taken for the next one, whatever ends the answer.
 TEST(Executor, BytesBehindAnAnswerAreNotTheNextOne)
