Executor: an answer with a status over 599 is a failure

Cause: libcurl rejects 000 to 099 and text in place of a status, but 600 and 999 were passed on to callers as answers, and their refusals were believed. An answer that ends with its connection behaves the same.

Change: such an answer counts as a broken one (502, may have run), also for health checks, which take the same path.

--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -38,6 +38,8 @@
 #define RESPONSE_HEAD_MAX_BYTES ((size_t)64 * 1024)
 /* Limit on idle connections kept to all backend servers together. */
 #define IDLE_CONNECTIONS_MAX 256L
+/* Largest status that HTTP has; libcurl rejects those below 100. */
+#define HTTP_STATUS_MAX 599
 /* Status of a server that is not the one the request is for. */
 #define HTTP_MISDIRECTED 421
 /*
@@ -164,6 +166,9 @@
 
 	if (is_foreign(x))
 		return BB_EXECUTION_FOREIGN;
+	/* Neither its status nor what else it says can be trusted. */
+	if (x->head_complete && status > HTTP_STATUS_MAX)
+		return BB_EXECUTION_BROKEN;
 	if (x->ended == SENT_ALREADY)
 		return BB_EXECUTION_BROKEN;
 	if (x->head_complete && status == HTTP_MISDIRECTED &&
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -47,7 +47,8 @@
  * @BB_EXECUTION_TIMEOUT: timed out after at least a part of the request was
  *                        sent
  * @BB_EXECUTION_BROKEN: the connection failed before the end of the response
- *                       head, or the head exceeds the limit
+ *                       head, or the head exceeds the limit or has a status that
+ *                       HTTP does not have
  * @BB_EXECUTION_TRUNCATED: the response head was received, but the end of the
  *                          body was not; also for a body of unknown length that
  *                          exceeds the limit
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -577,6 +577,43 @@
 	EXPECT_EQ(BB_EXECUTION_BROKEN, c.get(s.url, "two").end);
 }
 
+// Guards against an answer of a backend server in trouble being passed on with
+// a status that HTTP does not have, with a length and without one.
+TEST(Executor, StatusOutsideOfHttpIsAFailure)
+{
+	for (const char *status : { "000", "099", "199 ", "600", "999", "1000",
+				    "20", "abc", "-10" }) {
+		for (const char *end : { "Content-Length: 4\r\n\r\nbody",
+					 "Connection: close\r\n\r\nbody" }) {
+			Result r = execute("HTTP/1.1 " + std::string(status) +
+					   " X\r\nX-Id: one\r\n" + end);
+
+			EXPECT_NE(BB_EXECUTION_DONE, r.end) << status << end;
+			EXPECT_NE(BB_EXECUTION_NOT_SENT, r.end) << status;
+			EXPECT_NE(BB_EXECUTION_REFUSED, r.end) << status;
+		}
+	}
+	for (const char *status : { "200", "299", "404", "503", "599" })
+		EXPECT_EQ(BB_EXECUTION_DONE,
+			  execute("HTTP/1.1 " + std::string(status) +
+				  " X\r\nX-Id: one\r\nContent-Length: 4\r\n"
+				  "\r\nbody")
+				  .end)
+			<< status;
+}
+
+// Guards against the word of such an answer that the request did not run.
+TEST(Executor, RefusalOutsideOfHttpMayHaveRun)
+{
+	for (const char *status : { "000", "600", "999" })
+		EXPECT_EQ(BB_EXECUTION_BROKEN,
+			  execute("HTTP/1.1 " + std::string(status) +
+				  " X\r\nX-Id: one\r\nX-Not-Run: 1\r\n"
+				  "Content-Length: 0\r\n\r\n")
+				  .end)
+			<< status;
+}
+
 // Guards against bookings and health checks that meet what is still due on a
 // connection of a lookup, or leave their own to the next lookup. Health checks
 // have no id by which their answer could be told.
