--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -212,8 +212,11 @@
 		g_main_context_unref(context);
 	}
 	// @result must outlive the request.
-	void start(const std::string &url, const std::string &id,
-		   Result *result, bool once = false)
+	struct bb_execution *start(const std::string &url,
+				   const std::string &id, Result *result,
+				   bool once = false,
+				   int64_t timeout_us = 10000000,
+				   int64_t reuse_us = 0)
 	{
 		struct bb_header h = { { "X-Id", 4 },
 				       { id.data(), id.size() } };
@@ -224,11 +227,13 @@
 		r.method = { "GET", 3 };
 		r.headers = &h;
 		r.headers_nr = id.empty() ? 0 : 1;
-		r.timeout_us = 10000000;
+		r.timeout_us = timeout_us;
 		r.max_body = 100;
 		r.at_most_once = once;
+		r.reuse_us = reuse_us;
 		r.dialect = &kDialect;
-		bb_executor_start(executor, &r, keep_result, result, nullptr);
+		return bb_executor_start(executor, &r, keep_result, result,
+					 nullptr);
 	}
 	void wait(const Result &result)
 	{
@@ -244,6 +249,16 @@
 		wait(result);
 		return result;
 	}
+	// A request that runs once and may use a kept connection.
+	Result book(const std::string &url, const std::string &id,
+		    int64_t reuse_us)
+	{
+		Result result;
+
+		start(url, id, &result, true, 10000000, reuse_us);
+		wait(result);
+		return result;
+	}
 };
 
 } // namespace
@@ -391,6 +406,112 @@
 	}
 }
 
+namespace
+{
+
+// A connected pair of sockets with a byte to be read at either end.
+struct UnreadPair {
+	int ends[2] = { -1, -1 };
+
+	UnreadPair()
+	{
+		struct sockaddr_in a = {};
+		socklen_t size = sizeof(a);
+		std::string url;
+		int listening;
+
+		/* Takes the lowest free number. */
+		ends[0] = socket(AF_INET, SOCK_STREAM, 0);
+		listening = listening_socket(&url);
+		getsockname(listening, (struct sockaddr *)&a, &size);
+		EXPECT_EQ(0, connect(ends[0], (struct sockaddr *)&a, size));
+		ends[1] = accept(listening, nullptr, nullptr);
+		close(listening);
+		for (int fd : ends)
+			EXPECT_EQ(1, send(fd, "x", 1, MSG_NOSIGNAL));
+	}
+	~UnreadPair()
+	{
+		for (int fd : ends)
+			close(fd);
+	}
+	bool is_intact() const
+	{
+		char byte;
+
+		for (int fd : ends) {
+			if (recv(fd, &byte, 1, MSG_PEEK) != 1)
+				return false;
+		}
+		return true;
+	}
+};
+
+// A listening socket whose queue of connections is full, so that no further
+// one is established.
+struct FullListener {
+	std::string url;
+	int fd = listening_socket(&url);
+	std::vector<int> waiting;
+
+	FullListener()
+	{
+		struct sockaddr_in a = {};
+		socklen_t size = sizeof(a);
+
+		getsockname(fd, (struct sockaddr *)&a, &size);
+		listen(fd, 0);
+		for (int i = 0; i < 4; i++) {
+			waiting.push_back(socket(
+				AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+			connect(waiting.back(), (struct sockaddr *)&a, size);
+		}
+	}
+	~FullListener()
+	{
+		close(fd);
+		for (int w : waiting)
+			close(w);
+	}
+};
+
+} // namespace
+
+// Guards against a socket of another module being replaced. libcurl closes the
+// socket of a connection that was never established without its callback; the
+// descriptor then belongs to whoever opens one next, such as libzmq, which ends
+// the process when its wake-up descriptor has gone.
+TEST(Executor, DescriptorOfAFailedConnectionIsForgotten)
+{
+	enum { TIMED_OUT, CANCELLED, CANCELLED_TIMED_OUT };
+
+	for (int end : { TIMED_OUT, CANCELLED, CANCELLED_TIMED_OUT }) {
+		FullListener server;
+		Caller caller;
+		Result first, second;
+		struct bb_execution *x =
+			caller.start(server.url, "", &first, false, 200000);
+
+		if (end == TIMED_OUT) {
+			caller.wait(first);
+			EXPECT_EQ(BB_EXECUTION_NOT_SENT, first.end);
+		} else {
+			for (int i = 0; i < 20; i++)
+				g_main_context_iteration(caller.context, FALSE);
+			ASSERT_FALSE(first.done);
+			if (end == CANCELLED)
+				bb_executor_cancel(x);
+			else
+				bb_executor_cancel_timed_out(x);
+		}
+		std::vector<UnreadPair> pairs(4);
+
+		caller.start(server.url, "", &second);
+		for (const UnreadPair &p : pairs)
+			EXPECT_TRUE(p.is_intact()) << end;
+	}
+}
+
 // Guards against an answer without a length that this end cuts off, and that
 // is passed on as complete, after its request was sent again on a new connection
 // with the descriptor of the former one.
@@ -456,6 +577,43 @@
 	EXPECT_EQ(BB_EXECUTION_BROKEN, c.get(s.url, "two").end);
 }
 
+// Guards against an answer of a backend server in trouble being passed on with
+// a status that HTTP does not have, with a length and without one.
+TEST(Executor, StatusOutsideOfHttpIsAFailure)
+{
+	for (const char *status : { "000", "099", "199 ", "600", "999", "1000",
+				    "20", "abc", "-10" }) {
+		for (const char *end : { "Content-Length: 4\r\n\r\nbody",
+					 "Connection: close\r\n\r\nbody" }) {
+			Result r = execute("HTTP/1.1 " + std::string(status) +
+					   " X\r\nX-Id: one\r\n" + end);
+
+			EXPECT_NE(BB_EXECUTION_DONE, r.end) << status << end;
+			EXPECT_NE(BB_EXECUTION_NOT_SENT, r.end) << status;
+			EXPECT_NE(BB_EXECUTION_REFUSED, r.end) << status;
+		}
+	}
+	for (const char *status : { "200", "299", "404", "503", "599" })
+		EXPECT_EQ(BB_EXECUTION_DONE,
+			  execute("HTTP/1.1 " + std::string(status) +
+				  " X\r\nX-Id: one\r\nContent-Length: 4\r\n"
+				  "\r\nbody")
+				  .end)
+			<< status;
+}
+
+// Guards against the word of such an answer that the request did not run.
+TEST(Executor, RefusalOutsideOfHttpMayHaveRun)
+{
+	for (const char *status : { "000", "600", "999" })
+		EXPECT_EQ(BB_EXECUTION_BROKEN,
+			  execute("HTTP/1.1 " + std::string(status) +
+				  " X\r\nX-Id: one\r\nX-Not-Run: 1\r\n"
+				  "Content-Length: 0\r\n\r\n")
+				  .end)
+			<< status;
+}
+
 // Guards against bookings and health checks that meet what is still due on a
 // connection of a lookup, or leave their own to the next lookup. Health checks
 // have no id by which their answer could be told.
@@ -479,6 +637,81 @@
 	EXPECT_EQ(6, s.connections);
 }
 
+// Guards against a new connection for each booking where kept ones may be used,
+// and against one on a connection that may have been forgotten.
+TEST(Executor, RequestThatRunsOnceUsesARecentConnection)
+{
+	const int64_t any_us = 1000000000;
+	KeepingServer s([&](int fd, int connection, int) {
+		send_text(fd, answer("one", std::to_string(connection)));
+	});
+	Caller c;
+
+	EXPECT_EQ("0", c.book(s.url, "one", any_us).body);
+	EXPECT_EQ("0", c.book(s.url, "one", any_us).body);
+	EXPECT_EQ("0", c.get(s.url, "one").body);
+	EXPECT_EQ("0", c.book(s.url, "one", any_us).body);
+	usleep(2000);
+	EXPECT_EQ("1", c.book(s.url, "one", 1).body);
+	EXPECT_EQ(2, s.connections);
+}
+
+// Guards against a booking that runs twice because its kept connection was
+// closed without an answer, with another one to send it on or without.
+TEST(Executor, RequestThatRunsOnceIsNotSentAgain)
+{
+	for (int kept : { 1, 2 }) {
+		std::atomic<int> received{ 0 };
+		KeepingServer s([&](int fd, int, int request) {
+			received++;
+			if (request == 0) {
+				while (received < kept)
+					usleep(1000);
+				send_text(fd, answer("one", "1"));
+			} else {
+				reset_connection(fd);
+			}
+		});
+		Caller c;
+		std::vector<Result> first((size_t)kept);
+
+		for (Result &r : first)
+			c.start(s.url, "one", &r);
+		for (Result &r : first)
+			c.wait(r);
+		EXPECT_EQ(BB_EXECUTION_BROKEN,
+			  c.book(s.url, "one", 1000000000).end);
+		EXPECT_EQ(kept, s.connections);
+		EXPECT_EQ(kept + 1, received);
+	}
+}
+
+// Guards against a booking on a connection that was idle for too long, which
+// libcurl prefers to one that answered a moment ago.
+TEST(Executor, RequestThatRunsOnceLeavesAnOldConnection)
+{
+	std::atomic<int> received{ 0 };
+	KeepingServer s([&](int fd, int connection, int request) {
+		received++;
+		while (request == 0 && received < 2)
+			usleep(1000);
+		if (request == 0 && connection == 1)
+			usleep(100000);
+		send_text(fd, answer("one", std::to_string(connection)));
+	});
+	Caller c;
+	Result first, second;
+
+	c.start(s.url, "one", &first);
+	c.start(s.url, "one", &second);
+	c.wait(first);
+	c.wait(second);
+	Result booking = c.book(s.url, "one", 50000);
+
+	EXPECT_EQ(BB_EXECUTION_DONE, booking.end);
+	EXPECT_NE("0", booking.body);
+}
+
 // Guards against a second copy of an answer, or a part of one, that comes right
 // behind the answer and is taken for the next one, whatever ends the answer.
 TEST(Executor, BytesBehindAnAnswerAreNotTheNextOne)
