Balance: choice by expected finish and by bytes between zones

Cause: requests that look alike cost very different amounts of work, backend servers differ in speed, and one threshold of load decides for small answers and for downloads whether they leave their availability zone.

--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -18,6 +18,13 @@
  * leaves changes no more than that. Members that cannot be chosen at present do
  * not count: the subset is widened by as many, up to the whole pool.
  *
+ * With a struct bb_placement the choice is by expected finish instead of by load,
+ * for a fleet whose requests differ in cost and size and whose nodes hear of each
+ * server only every few seconds. The candidates are drawn as above; the best of
+ * the own availability zone stays one of them. Bytes that would cross zones count
+ * against the wait that they save. Estimates change the load and the speed of a
+ * server by a factor of two at most, and lose their weight with their age.
+ *
  * A struct bb_balance is made from one configuration snapshot, which fixes its
  * backend servers and weights. What was learned about a backend server is in a
  * struct bb_path, which is shared with the balance of the next snapshot and
@@ -108,6 +115,24 @@
  */
 void bb_balance_delete(struct bb_balance *b);
 
+/**
+ * struct bb_placement - what the choice has to know of a request; all zero for a
+ * choice by load only.
+ * @cost_us: its expected time in a slot of a backend server of mean speed
+ * @service_us: mean time of all requests of the service; 0 if unknown, for a
+ *              choice by load only
+ * @bytes: expected size of the request and of its response
+ * @target_us: time at which its target latency ends, 0 if it has none
+ * @deadline_us: its deadline, 0 if it has none
+ */
+struct bb_placement {
+	int64_t cost_us;
+	int64_t service_us;
+	uint64_t bytes;
+	int64_t target_us;
+	int64_t deadline_us;
+};
+
 /**
  * bb_balance_choose() - choose a backend server and count a request on it.
  * @b: balance
@@ -127,6 +152,22 @@
 				   const uint32_t *excluded, size_t excluded_nr,
 				   int64_t now_us);
 
+/**
+ * bb_balance_place() - choose a backend server by expected finish and count a
+ * request on it.
+ * @b: balance
+ * @p: the request, NULL for bb_balance_choose()
+ * @excluded: handles that are not chosen
+ * @excluded_nr: number of @excluded
+ * @now_us: current time
+ *
+ * Return: choice, with BB_NO_ROW when no backend server is eligible.
+ */
+struct bb_choice bb_balance_place(struct bb_balance *b,
+				  const struct bb_placement *p,
+				  const uint32_t *excluded, size_t excluded_nr,
+				  int64_t now_us);
+
 /**
  * bb_balance_choose_least_loaded() - choose the backend server with the lowest
  * estimated load of all and count a request on it.
@@ -145,6 +186,20 @@
 						size_t excluded_nr,
 						int64_t now_us);
 
+/**
+ * bb_balance_place_least_loaded() - the same by expected finish.
+ * @b: balance
+ * @p: the request, NULL for bb_balance_choose_least_loaded()
+ * @excluded: handles that are not chosen
+ * @excluded_nr: number of @excluded
+ * @now_us: current time
+ */
+struct bb_choice bb_balance_place_least_loaded(struct bb_balance *b,
+					       const struct bb_placement *p,
+					       const uint32_t *excluded,
+					       size_t excluded_nr,
+					       int64_t now_us);
+
 /**
  * bb_balance_choose_any() - choose among all backend servers in the state "in"
  * that are not leaving and whose path is not avoided.
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -22,6 +22,29 @@
 #define SUBSET_INTERVAL_US (100 * BB_US_PER_MS)
 /* Weight of a new report in the moving average of the pool's load. */
 #define MEAN_LOAD_GAIN 0.05
+/* Weight of a new report in the moving averages of the placement by cost. Each
+ * zone has its own, for which a node hears of a few requests per second. */
+#define ZONE_LOAD_GAIN 0.1
+#define SPEED_GAIN 0.05
+/* Largest factor by which the work and the speed in a report change an estimate.
+ * A wrong one then costs no more than a load that is wrong by as much. */
+#define ESTIMATE_MAX_FACTOR 2.0
+/* Part of its time that a running request still needs on average, for times with
+ * a spread of 0.3 to 0.8 of their mean. */
+#define RUNNING_REMAINING 0.65
+/* Age at which a reported speed has half of its weight. A backend server is slow
+ * for many seconds; a fleet of 95 nodes hears of one every 10 s. */
+#define SPEED_STALE_US (5 * BB_US_PER_S)
+/* Wait that has to be saved for each byte that crosses zones: 0.9 s for a
+ * response of 90 KB, the size of downloads, so that these move only if the own
+ * zone is short of capacity; 10 ms for 1 KB, less than the zone penalty. */
+#define ZONE_US_PER_BYTE 10
+/* Size up to which a request is placed as one without a size. */
+#define SMALL_BYTES 8192
+/* Share of the time that a request can wait and still meet its target latency,
+ * above which the bytes no longer count: the estimate of a wait is the mean of a
+ * time that varies as much as itself. */
+#define URGENT_WAIT_SHARE 0.5
 /* Scale of the fixed-point loads, which are kept in integers for atomic access:
  * 1.0 is LOAD_UNIT. */
 #define LOAD_UNIT 1024
@@ -34,12 +57,18 @@
  *               report, in units of 1/LOAD_UNIT
  * @slots: slots in use at the last report
  * @reported_us: time of the report, 0 if there was none
+ * @work_us: reported work, 0 if unknown
+ * @running: requests that @work_us counts as running
+ * @waiting: and as waiting
+ * @speed: reported speed in thousandths, 0 if unknown
+ * @own_work_us: expected time of this node's own requests in flight
  * @hint_until_us: end of the time for which the adjacent node asked to be
  *                 avoided
  * @avoid_until_us: end of the time set by bb_balance_avoid()
  * @leaving: whether the host is leaving
  * @said_leaving: whether the backend server said that it is leaving
  * @silent: whether bb_balance_filter_paths() avoids it
+ * @local: whether it is in this node's availability zone
  * @name: name of the backend server
  */
 struct bb_path {
@@ -48,11 +77,17 @@
 	uint64_t others_load;
 	uint32_t slots;
 	uint64_t reported_us;
+	uint64_t work_us;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t speed;
+	uint64_t own_work_us;
 	uint64_t hint_until_us;
 	uint64_t avoid_until_us;
 	uint32_t leaving;
 	uint32_t said_leaving;
 	uint32_t silent;
+	uint32_t local;
 	char *name;
 };
 
@@ -103,6 +138,10 @@
  * @draws: random numbers drawn so far
  * @mean_load: moving average of the load from other nodes per slot, in units of
  *             1/LOAD_UNIT
+ * @zone_load: the same for the other zones and for this node's own, 0 if there
+ *             was no report from there
+ * @mean_speed: moving average of the reported speeds in units of 1/LOAD_UNIT
+ *              thousandths, 0 if there was none
  */
 struct bb_balance {
 	struct member *members;
@@ -124,6 +163,8 @@
 	uint64_t seed;
 	uint64_t draws;
 	uint64_t mean_load;
+	uint64_t zone_load[2];
+	uint64_t mean_speed;
 };
 
 static void path_unref(struct bb_path *p)
@@ -274,6 +315,7 @@
 	m->path = get_path(o->previous, row->name);
 	m->rank = rank_of(o, host, row->name);
 	m->local = host->zone_id == o->zone_id;
+	ck_pr_store_32(&m->path->local, m->local);
 	if (!m->local)
 		m->penalty = o->zone_penalty < 0 ? DEFAULT_ZONE_PENALTY :
 						   o->zone_penalty;
@@ -297,6 +339,9 @@
 	b->seed = o->seed;
 	if (o->previous) {
 		b->mean_load = ck_pr_load_64(&o->previous->mean_load);
+		b->zone_load[0] = ck_pr_load_64(&o->previous->zone_load[0]);
+		b->zone_load[1] = ck_pr_load_64(&o->previous->zone_load[1]);
+		b->mean_speed = ck_pr_load_64(&o->previous->mean_speed);
 		b->filtered = o->previous->filtered;
 	}
 	for (size_t i = 0; i < s->backends_nr; i++)
@@ -380,6 +425,158 @@
 	return (own + others) / (slots * weight) + m->penalty;
 }
 
+/* Weight of a report: 1 if it is new, a half at the age @half_us. */
+static double freshness(const struct bb_path *p, double half_us, int64_t now_us)
+{
+	uint64_t at = ck_pr_load_64(&p->reported_us);
+	double age;
+
+	if (!at)
+		return 0;
+	age = fmax((double)(now_us - (int64_t)at), 0);
+	return half_us / (half_us + age);
+}
+
+static double bounded(double factor)
+{
+	return fmin(fmax(factor, 1 / ESTIMATE_MAX_FACTOR), ESTIMATE_MAX_FACTOR);
+}
+
+/* Reported work relative to that of as many requests of mean cost. */
+static double work_factor(const struct bb_path *path,
+			  const struct bb_placement *p)
+{
+	double work = (double)ck_pr_load_64(&path->work_us);
+	double as_mean =
+		((double)ck_pr_load_32(&path->running) * RUNNING_REMAINING +
+		 (double)ck_pr_load_32(&path->waiting)) *
+		(double)p->service_us;
+
+	return work > 0 && as_mean > 0 ? bounded(work / as_mean) : 1;
+}
+
+/* Load in requests of mean cost, relative to the slots and the weight. Without a
+ * recent report, the one of the zone. */
+static double load_by_work(const struct bb_balance *b, const struct member *m,
+			   const struct bb_placement *p, int64_t now_us)
+{
+	const struct bb_path *path = m->path;
+	uint64_t zone = ck_pr_load_64(&b->zone_load[m->local]);
+	double mean = (double)(zone ? zone : ck_pr_load_64(&b->mean_load)) /
+		      LOAD_UNIT;
+	double half_us = fmax((double)b->stale_us, (double)p->service_us);
+	double fresh = freshness(path, half_us, now_us);
+	double in_flight = ck_pr_load_32(&path->in_flight);
+	double own = (double)ck_pr_load_64(&path->own_work_us) /
+		     (double)p->service_us;
+	double others = mean * m->slots;
+	double slots = m->slots;
+	double weight = m->weight * (double)b->members_nr / b->total_weight;
+
+	own = fmin(fmax(own, in_flight / ESTIMATE_MAX_FACTOR),
+		   in_flight * ESTIMATE_MAX_FACTOR);
+	if (fresh > 0) {
+		double seen =
+			(double)ck_pr_load_64(&path->others_load) / LOAD_UNIT;
+
+		others += fresh * (seen * work_factor(path, p) - others);
+		slots += fresh * ((double)ck_pr_load_32(&path->slots) - slots);
+	}
+	return (own + others) / (slots * weight);
+}
+
+/* Speed relative to the mean of the reported ones. */
+static double relative_speed(const struct bb_balance *b,
+			     const struct bb_path *path, int64_t now_us)
+{
+	double mean = (double)ck_pr_load_64(&b->mean_speed) / LOAD_UNIT;
+	double speed = ck_pr_load_32(&path->speed);
+
+	if (!(mean > 0) || !(speed > 0))
+		return 1;
+	return 1 + freshness(path, SPEED_STALE_US, now_us) *
+			   (bounded(speed / mean) - 1);
+}
+
+/* Expected wait for a slot. The load is a mean, so all slots may be taken while
+ * it is below 1: with the probability of a pool of as many servers (Sakasegawa
+ * 1977). From 1 on, the requests above it come first. */
+static double expected_wait_us(const struct member *m, double load,
+			       const struct bb_placement *p)
+{
+	double slots = m->slots;
+	double all_taken = pow(fmin(load, 1), sqrt(2 * (slots + 1)));
+	double wait =
+		all_taken / fmax(2, slots * (1 - load)) + fmax(load - 1, 0);
+
+	return wait * (double)p->service_us;
+}
+
+/**
+ * struct forecast - what is expected of a request at one backend server.
+ * @load: load in requests of mean cost per slot
+ * @wait_us: wait for a slot
+ * @run_us: time in the slot
+ */
+struct forecast {
+	double load;
+	double wait_us;
+	double run_us;
+};
+
+static struct forecast forecast(const struct bb_balance *b,
+				const struct member *m,
+				const struct bb_placement *p, int64_t now_us)
+{
+	double speed = relative_speed(b, m->path, now_us);
+	struct forecast f = { .load = load_by_work(b, m, p, now_us) };
+
+	f.wait_us = expected_wait_us(m, f.load, p) / speed;
+	f.run_us = (double)(p->cost_us ? p->cost_us : p->service_us) / speed;
+	return f;
+}
+
+/* Wait that a request must save in another zone: that of the zone penalty, and
+ * for a large one that of its bytes. */
+static double zone_cost_us(const struct member *m, const struct bb_placement *p)
+{
+	double bytes_us = p->bytes > SMALL_BYTES ?
+				  (double)p->bytes * ZONE_US_PER_BYTE :
+				  0;
+
+	return m->local ? 0 :
+			  fmax(m->penalty * (double)p->service_us, bytes_us);
+}
+
+/* Whether the bytes no longer count, because the wait may make the request late.
+ * One that is late in any case has time until its deadline. */
+static bool is_urgent(const struct forecast *f, const struct bb_placement *p,
+		      int64_t now_us)
+{
+	double left_us = (double)(p->target_us - now_us) - f->run_us;
+
+	if (!p->target_us || left_us <= 0)
+		left_us = (double)(p->deadline_us - now_us) - f->run_us;
+	if (!p->target_us && !p->deadline_us)
+		return false;
+	return left_us > 0 && f->wait_us > left_us * URGENT_WAIT_SHARE;
+}
+
+static struct member *earlier_finish(const struct bb_balance *b,
+				     struct member *x, struct member *y,
+				     const struct bb_placement *p,
+				     int64_t now_us)
+{
+	struct forecast fx = forecast(b, x, p, now_us);
+	struct forecast fy = forecast(b, y, p, now_us);
+	const struct forecast *here = x->local ? &fx : &fy;
+	double extra = zone_cost_us(y, p) - zone_cost_us(x, p);
+
+	if (x->local != y->local && is_urgent(here, p, now_us))
+		extra = (y->penalty - x->penalty) * (double)p->service_us;
+	return fy.wait_us + fy.run_us + extra < fx.wait_us + fx.run_us ? y : x;
+}
+
 /* Sets the subset anew from time to time, so that as many of its members as it
  * should have can be chosen. */
 static void adapt_window(struct bb_balance *b, int64_t now_us)
@@ -443,11 +640,15 @@
 	return draw_from_all(b);
 }
 
+/* The better of two members: by expected finish with @p, by load without. */
 static struct member *less_loaded(const struct bb_balance *b, struct member *x,
-				  struct member *y, int64_t now_us)
+				  struct member *y,
+				  const struct bb_placement *p, int64_t now_us)
 {
 	if (!x || !y)
 		return x ? x : y;
+	if (p)
+		return earlier_finish(b, x, y, p, now_us);
 	return estimated_load(b, y, now_us) < estimated_load(b, x, now_us) ? y :
 									     x;
 }
@@ -456,6 +657,7 @@
  * order. Starts at a random member, so that members of equal load share the
  * requests. */
 static struct member *scan_first(struct bb_balance *b, size_t nr,
+				 const struct bb_placement *p,
 				 const uint32_t *excluded, size_t excluded_nr,
 				 bool last_resort, int64_t now_us)
 {
@@ -466,39 +668,46 @@
 		struct member *m = &b->members[b->order[(start + i) % nr]];
 
 		if (is_eligible(m, excluded, excluded_nr, last_resort, now_us))
-			best = less_loaded(b, best, m, now_us);
+			best = less_loaded(b, best, m, p, now_us);
 	}
 	return best;
 }
 
 /* The same in the subset or, if it has none, in the whole pool. */
 static struct member *scan_least_loaded(struct bb_balance *b,
+					const struct bb_placement *p,
 					const uint32_t *excluded,
 					size_t excluded_nr, bool last_resort,
 					int64_t now_us)
 {
 	uint32_t window = ck_pr_load_32(&b->window);
-	struct member *best = scan_first(b, window, excluded, excluded_nr,
+	struct member *best = scan_first(b, window, p, excluded, excluded_nr,
 					 last_resort, now_us);
 
 	if (best || window == b->members_nr)
 		return best;
-	return scan_first(b, b->members_nr, excluded, excluded_nr, last_resort,
-			  now_us);
+	return scan_first(b, b->members_nr, p, excluded, excluded_nr,
+			  last_resort, now_us);
 }
 
-static struct bb_choice count_request(struct member *m)
+static struct bb_choice count_request(struct member *m,
+				      const struct bb_placement *p)
 {
-	ck_pr_inc_32(&m->path->refs);
-	ck_pr_inc_32(&m->path->in_flight);
-	return (struct bb_choice){ m->backend, m->path };
+	struct bb_path *path = m->path;
+
+	ck_pr_inc_32(&path->refs);
+	ck_pr_inc_32(&path->in_flight);
+	if (p)
+		ck_pr_add_64(&path->own_work_us, (uint64_t)p->cost_us);
+	return (struct bb_choice){ m->backend, path };
 }
 
-/* Draws two members of this node's availability zone and chooses the one with
- * the lower load; NULL if that is above local_max_load. */
-static struct member *choose_local(struct bb_balance *b,
-				   const uint32_t *excluded, size_t excluded_nr,
-				   int64_t now_us)
+/* Draws two members of this node's availability zone and chooses the better
+ * one. */
+static struct member *draw_local(struct bb_balance *b,
+				 const struct bb_placement *p,
+				 const uint32_t *excluded, size_t excluded_nr,
+				 int64_t now_us)
 {
 	uint32_t window = ck_pr_load_32(&b->local_window);
 	struct member *best = NULL;
@@ -508,28 +717,47 @@
 		struct member *m = &b->members[at];
 
 		if (is_eligible(m, excluded, excluded_nr, false, now_us))
-			best = less_loaded(b, best, m, now_us);
+			best = less_loaded(b, best, m, p, now_us);
 	}
-	return best && estimated_load(b, best, now_us) <= b->local_max_load ?
-		       best :
-		       NULL;
+	return best;
 }
 
-struct bb_choice bb_balance_choose(struct bb_balance *b,
-				   const uint32_t *excluded, size_t excluded_nr,
-				   int64_t now_us)
+static bool is_below_local_max(const struct bb_balance *b,
+			       const struct member *m,
+			       const struct bb_placement *p, int64_t now_us)
+{
+	double load = p ? load_by_work(b, m, p, now_us) :
+			  estimated_load(b, m, now_us);
+
+	return load <= b->local_max_load;
+}
+
+/* Whether the own zone comes first. Another attempt of a small request goes to
+ * any zone. */
+static bool tries_local(const struct bb_balance *b,
+			const struct bb_placement *p, size_t excluded_nr)
+{
+	return b->local_max_load > 0 &&
+	       (!excluded_nr || (p && p->bytes > SMALL_BYTES));
+}
+
+static struct bb_choice choose(struct bb_balance *b,
+			       const struct bb_placement *p,
+			       const uint32_t *excluded, size_t excluded_nr,
+			       int64_t now_us)
 {
 	struct bb_choice none = { BB_NO_ROW, NULL };
+	struct member *local = NULL;
 	struct member *first = NULL;
 	struct member *second = NULL;
 
 	if (!(b->total_weight > 0))
 		return none;
 	adapt_window(b, now_us);
-	if (b->local_max_load > 0 && !excluded_nr)
-		first = choose_local(b, excluded, excluded_nr, now_us);
-	if (first)
-		return count_request(first);
+	if (tries_local(b, p, excluded_nr))
+		local = draw_local(b, p, excluded, excluded_nr, now_us);
+	if (local && is_below_local_max(b, local, p, now_us))
+		return count_request(local, p);
 	for (int i = 0; i < DRAWS_MAX && !second; i++) {
 		struct member *m = draw_member(b);
 
@@ -541,20 +769,43 @@
 		else
 			second = m;
 	}
-	first = less_loaded(b, first, second, now_us);
+	first = less_loaded(b, first, second, p, now_us);
+	if (p)
+		first = less_loaded(b, local, first, p, now_us);
 	if (!first)
-		first = scan_least_loaded(b, excluded, excluded_nr, false,
+		first = scan_least_loaded(b, p, excluded, excluded_nr, false,
 					  now_us);
 	if (!first)
-		first = scan_least_loaded(b, excluded, excluded_nr, true,
+		first = scan_least_loaded(b, p, excluded, excluded_nr, true,
 					  now_us);
-	return first ? count_request(first) : none;
+	return first ? count_request(first, p) : none;
 }
 
-struct bb_choice bb_balance_choose_least_loaded(struct bb_balance *b,
-						const uint32_t *excluded,
-						size_t excluded_nr,
-						int64_t now_us)
+struct bb_choice bb_balance_choose(struct bb_balance *b,
+				   const uint32_t *excluded, size_t excluded_nr,
+				   int64_t now_us)
+{
+	return choose(b, NULL, excluded, excluded_nr, now_us);
+}
+
+/* Without a mean of the service, times cannot be compared with loads. */
+static const struct bb_placement *usable(const struct bb_placement *p)
+{
+	return p && p->service_us > 0 ? p : NULL;
+}
+
+struct bb_choice bb_balance_place(struct bb_balance *b,
+				  const struct bb_placement *p,
+				  const uint32_t *excluded, size_t excluded_nr,
+				  int64_t now_us)
+{
+	return choose(b, usable(p), excluded, excluded_nr, now_us);
+}
+
+static struct bb_choice choose_best(struct bb_balance *b,
+				    const struct bb_placement *p,
+				    const uint32_t *excluded,
+				    size_t excluded_nr, int64_t now_us)
 {
 	struct bb_choice none = { BB_NO_ROW, NULL };
 	struct member *best;
@@ -562,11 +813,28 @@
 	if (!b->members_nr)
 		return none;
 	adapt_window(b, now_us);
-	best = scan_least_loaded(b, excluded, excluded_nr, false, now_us);
+	best = scan_least_loaded(b, p, excluded, excluded_nr, false, now_us);
 	if (!best)
-		best = scan_least_loaded(b, excluded, excluded_nr, true,
+		best = scan_least_loaded(b, p, excluded, excluded_nr, true,
 					 now_us);
-	return best ? count_request(best) : none;
+	return best ? count_request(best, p) : none;
+}
+
+struct bb_choice bb_balance_choose_least_loaded(struct bb_balance *b,
+						const uint32_t *excluded,
+						size_t excluded_nr,
+						int64_t now_us)
+{
+	return choose_best(b, NULL, excluded, excluded_nr, now_us);
+}
+
+struct bb_choice bb_balance_place_least_loaded(struct bb_balance *b,
+					       const struct bb_placement *p,
+					       const uint32_t *excluded,
+					       size_t excluded_nr,
+					       int64_t now_us)
+{
+	return choose_best(b, usable(p), excluded, excluded_nr, now_us);
 }
 
 struct bb_choice bb_balance_choose_any(struct bb_balance *b, int64_t now_us)
@@ -579,9 +847,9 @@
 		struct member *m = &b->members[(start + i) % b->members_nr];
 
 		if (m->in && !is_leaving(m) && !is_avoided(m, now_us))
-			best = less_loaded(b, best, m, now_us);
+			best = less_loaded(b, best, m, NULL, now_us);
 	}
-	return best ? count_request(best) : none;
+	return best ? count_request(best, NULL) : none;
 }
 
 static struct member *find_member(struct bb_balance *b,
@@ -601,6 +869,28 @@
 	return NULL;
 }
 
+/* Moves an average, which is 0 before its first sample. Not an atomic update: a
+ * report lost to another thread does not matter for a moving average. */
+static void update_mean(uint64_t *mean, double gain, double sample)
+{
+	double old = (double)ck_pr_load_64(mean);
+
+	ck_pr_store_64(mean,
+		       (uint64_t)(old > 0 ?
+					  fmax(old + gain * (sample - old), 1) :
+					  fmax(sample, 1)));
+}
+
+static void learn_report(struct bb_balance *b, const struct bb_path *path,
+			 const struct bb_load *load, double others)
+{
+	update_mean(&b->zone_load[ck_pr_load_32(&path->local) != 0],
+		    ZONE_LOAD_GAIN, others / MAX(load->slots, 1));
+	if (load->speed_permille)
+		update_mean(&b->mean_speed, SPEED_GAIN,
+			    (double)load->speed_permille * LOAD_UNIT);
+}
+
 void bb_balance_report(struct bb_balance *b, struct bb_path *path,
 		       const struct bb_load *load, int64_t now_us)
 {
@@ -612,6 +902,11 @@
 
 	ck_pr_store_64(&path->others_load, others);
 	ck_pr_store_32(&path->slots, MAX(load->slots, 1));
+	ck_pr_store_64(&path->work_us, (uint64_t)MAX(load->work_us, 0));
+	ck_pr_store_32(&path->running, load->in_flight);
+	ck_pr_store_32(&path->waiting, load->queued);
+	ck_pr_store_32(&path->speed, load->speed_permille);
+	learn_report(b, path, load, (double)others);
 	ck_pr_store_64(&path->reported_us, (uint64_t)MAX(now_us, 1));
 	ck_pr_store_64(&path->hint_until_us,
 		       avoid_us > 0 ? (uint64_t)(now_us + avoid_us) : 0);
@@ -683,6 +978,14 @@
 
 void bb_path_release(struct bb_path *path)
 {
+	uint32_t in_flight = ck_pr_load_32(&path->in_flight);
+	uint64_t work_us = ck_pr_load_64(&path->own_work_us);
+
+	/* The mean of those in flight. A lost update ends with the last one. */
+	if (work_us)
+		ck_pr_store_64(&path->own_work_us,
+			       in_flight > 1 ? work_us - work_us / in_flight :
+					       0);
 	ck_pr_dec_32(&path->in_flight);
 	path_unref(path);
 }
