Nodes learn and send the expected cost of requests

Cause: the placement by cost needs the cost and size of each request, the remaining work of each backend server and its speed.

Change: with the policy place_by_cost, the adjacent node reports work and speed and how long a request was in its slot; the entry node learns from results, sends the expected cost and places by it. Metrics count attempts by zone and the bytes that cross zones; event=executed has cost_ms and speed_permille. One absurd time raises a mean by half at most.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -95,6 +95,14 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
+	{ "placed_own_zone_total", "counter",
+	  "Attempts sent to backend servers in this node's availability "
+	  "zone." },
+	{ "placed_other_zone_total", "counter",
+	  "Attempts sent to backend servers in other availability zones." },
+	{ "zone_bytes_total", "counter",
+	  "Bytes of requests sent to nodes in other availability zones, and of "
+	  "responses from there." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -60,6 +60,48 @@
 	g_free(b);
 }
 
+/* Limit on the requests examined for the work of a backend server; beyond it
+ * the work is that of as many requests of the same mean. */
+#define WORK_JOBS_MAX 64
+
+static bool places_by_cost(const struct bb_adjacent *a)
+{
+	return a->snapshot && a->snapshot->config->policies.place_by_cost;
+}
+
+/* Expected time of a request on a backend server of mean speed. */
+static int64_t job_cost_us(const struct bb_job *job)
+{
+	int64_t cost_us = job->request.cost_us;
+
+	return cost_us > 0 ? MIN(cost_us, EXECUTE_TIMEOUT_MAX_US) :
+			     bb_queue_mean_service_us(job->backend->queue);
+}
+
+static int64_t remaining_work_us(const struct adjacent_backend *b,
+				 int64_t now_us)
+{
+	int64_t total = (int64_t)bb_queue_running(b->queue) +
+			bb_queue_waiting(b->queue);
+	int64_t work_us = 0;
+	int64_t nr = 0;
+	GHashTableIter i;
+	gpointer value;
+
+	g_hash_table_iter_init(&i, b->adjacent->jobs);
+	while (nr < WORK_JOBS_MAX && g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct bb_job *job = value;
+
+		if (job->backend != b)
+			continue;
+		work_us += bb_server_cost_remaining_us(
+			&b->cost, job_cost_us(job),
+			job->execution ? now_us - job->started_us : -1, now_us);
+		nr++;
+	}
+	return nr && total > nr ? work_us / nr * total : work_us;
+}
+
 static struct bb_load backend_load(const struct adjacent_backend *b)
 {
 	int64_t now_us = bb_clock_now_us();
@@ -71,6 +113,10 @@
 	load.avoid_for_us = MAX(0, load.avoid_for_us);
 	if (bb_adjacent_is_leaving(b))
 		load.avoid_for_us = MAX(load.avoid_for_us, LEAVING_AVOID_US);
+	if (places_by_cost(b->adjacent)) {
+		load.work_us = remaining_work_us(b, now_us);
+		load.speed_permille = bb_server_cost_speed(&b->cost, now_us);
+	}
 	return load;
 }
 
@@ -359,7 +405,8 @@
 		"backend=%s end=%s status=%u queued_ms=%" G_GINT64_FORMAT
 		" took_ms=%" G_GINT64_FORMAT
 		" new_connection=%d port=%u body_end=%s bytes=%zu running=%u"
-		" waiting=%u slots=%u limit=%g",
+		" waiting=%u slots=%u limit=%g cost_ms=%" G_GINT64_FORMAT
+		" speed_permille=%u",
 		job->backend->name, bb_execution_end_string[r->end], r->status,
 		(job->started_us - job->queue_entry.pushed_us) / BB_US_PER_MS,
 		r->latency_us / BB_US_PER_MS, r->new_connection, r->local_port,
@@ -367,7 +414,9 @@
 		bb_queue_running(q), bb_queue_waiting(q),
 		bb_queue_load(q, bb_clock_now_us()).slots,
 		r->notice.limit == BB_LIMIT_NAMED ? r->notice.limit_per_s :
-						    -1.0);
+						    -1.0,
+		job->request.cost_us / BB_US_PER_MS,
+		bb_server_cost_speed(&job->backend->cost, bb_clock_now_us()));
 	if (r->end != BB_EXECUTION_DONE)
 		bb_log(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name,
 		       "request to %s failed: %s", job->backend->name,
@@ -401,6 +450,23 @@
 	bb_adjacent_apply_notices(b, r, now_us);
 }
 
+/* Errors may come at once and say nothing of the cost of the request. Return:
+ * time of the request in its slot, 0 if it tells nothing. */
+static int64_t learn_cost(struct bb_job *job,
+			  const struct bb_execution_result *r)
+{
+	int64_t now_us = bb_clock_now_us();
+	int64_t took_us = now_us - job->started_us;
+
+	if (!places_by_cost(job->adjacent) || r->end != BB_EXECUTION_DONE ||
+	    r->status >= 500)
+		return 0;
+	if (is_of_present_start(job))
+		bb_server_cost_finished(&job->backend->cost, job_cost_us(job),
+					took_us, now_us);
+	return MAX(1, took_us);
+}
+
 static void on_executed(void *data, const struct bb_execution_result *r)
 {
 	struct bb_job *job = data;
@@ -428,6 +494,7 @@
 			r->end == BB_EXECUTION_DONE && r->status < 500,
 			bb_clock_now_us());
 	set_result(&m, r);
+	m.service_us = learn_cost(job, r);
 	bb_adjacent_spans_end(&job->spans, m.verdict, m.reason, r->status);
 	free_job(job);
 	reply(a, &to, &id, b, &m);
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -73,9 +73,11 @@
 	b->slots = row->slots;
 	b->max_connections = row->max_connections;
 	b->state = row->state;
-	/* Failures of a former process say nothing of the next one. */
-	if (b->started_ms != row->started_ms)
+	/* Failures and speed of a former process say nothing of the next one. */
+	if (b->started_ms != row->started_ms) {
 		b->breaker = (struct bb_breaker){ 0 };
+		b->cost = (struct bb_server_cost){ 0 };
+	}
 	b->started_ms = row->started_ms;
 	apply_limits(b);
 	b->configured = true;
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -6,6 +6,7 @@
 #define BB_NODE_ADJACENT_PRIVATE_H
 
 #include "baobabward/breaker.h"
+#include "baobabward/cost.h"
 #include "baobabward/queue.h"
 #include "libnode/adjacent.h"
 
@@ -21,6 +22,7 @@
  * @wake_timer: starts queued requests later, when the queue asks for it
  * @idle_connections: connections that libcurl keeps open for reuse
  * @breaker: circuit breaker
+ * @cost: its speed and the spread of the times of its requests
  * @last_answer_us: when it last answered without a server error
  * @started_ms: when it started, by the configuration
  * @said_leaving: it said in an answer that it is leaving
@@ -40,6 +42,7 @@
 	GSource *wake_timer;
 	uint32_t idle_connections;
 	struct bb_breaker breaker;
+	struct bb_server_cost cost;
 	int64_t last_answer_us;
 	double started_ms;
 	bool said_leaving;
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -91,6 +91,94 @@
 	return service == BB_NO_ROW ? NULL : t->entry->balances[service];
 }
 
+static struct bb_bytes text(const char *s)
+{
+	return (struct bb_bytes){ s, strlen(s) };
+}
+
+static uint64_t headers_bytes(const struct bb_header *h, size_t nr)
+{
+	uint64_t bytes = 0;
+
+	for (size_t i = 0; i < nr; i++)
+		bytes += h[i].name.size + h[i].value.size;
+	return bytes;
+}
+
+static uint64_t request_bytes(const struct bb_call *c)
+{
+	return c->body->len + strlen(c->target) +
+	       headers_bytes((struct bb_header *)(void *)c->headers->data,
+			     c->headers->len);
+}
+
+static struct bb_cost_kind cost_kind(const struct bb_call *c)
+{
+	const struct bb_config *config = c->snapshot->config;
+
+	return (struct bb_cost_kind){
+		.service = text(config->services[c->service].name),
+		.route = text(bb_call_route(c)->name),
+		.method = text(c->method),
+		.account = text(bb_call_account_name(c)),
+		.body_bytes = c->body->len,
+	};
+}
+
+/* Fills in what the choice has to know of the request, if the policy asks for
+ * it. */
+static void set_placement(struct bb_attempts *t)
+{
+	struct bb_entry *e = t->entry;
+	const struct bb_call *c = t->call;
+	int64_t target_us = bb_call_route(c)->target_latency_ms * BB_US_PER_MS;
+	struct bb_cost_estimate x;
+	struct bb_cost_kind kind;
+
+	t->placement = (struct bb_placement){ 0 };
+	if (!e->snapshot->config->policies.place_by_cost)
+		return;
+	if (!e->cost)
+		e->cost = bb_cost_new(0);
+	kind = cost_kind(c);
+	x = bb_cost_expect(e->cost, &kind);
+	t->placement = (struct bb_placement){
+		.cost_us = x.mean_us,
+		.service_us = x.service_mean_us,
+		.bytes = request_bytes(c) + x.response_bytes,
+		.target_us = target_us ? c->arrived_us + target_us : 0,
+		.deadline_us = c->deadline_us,
+	};
+}
+
+static void learn_cost(struct bb_attempts *t, const struct bb_message_result *r)
+{
+	struct bb_entry *e = t->entry;
+	struct bb_cost_kind kind;
+	const struct bb_cost_sample sample = {
+		.service_us = r->service_us,
+		.speed_permille = r->load.speed_permille,
+		.response_bytes =
+			r->body.size + headers_bytes(r->headers, r->headers_nr),
+	};
+
+	if (!e->cost || !e->snapshot->config->policies.place_by_cost ||
+	    r->status >= 500)
+		return;
+	kind = cost_kind(t->call);
+	bb_cost_learn(e->cost, &kind, &sample, bb_clock_now_us());
+}
+
+/* Whether the current attempt is at a node in another availability zone. */
+static bool is_in_other_zone(const struct bb_attempts *t)
+{
+	const struct bb_snapshot *s = t->entry->snapshot;
+
+	return !t->local && t->host != BB_NO_ROW && s->self != BB_NO_ROW &&
+	       s->config->hosts[t->host].zone_id !=
+		       s->config->hosts[s->self].zone_id;
+}
+
 static struct bb_attempt_limits attempt_limits(const struct bb_attempts *t)
 {
 	const struct bb_route *r = bb_call_route(t->call);
@@ -100,6 +188,7 @@
 		.max_backends_reached = r->max_attempts,
 		.max_slot_searches = t->entry->o.slot_searches,
 		.deadline_us = t->call->deadline_us,
+		.placement = &t->placement,
 	};
 }
 
@@ -112,6 +201,7 @@
 
 	if (!b)
 		return false;
+	set_placement(t);
 	bb_balance_filter_paths(b, t->entry->paths, t->entry->o.keep_path_floor,
 				now_us);
 	choice = bb_attempt_choose(&t->history, &limits, b, now_us);
@@ -155,6 +245,7 @@
 	x->last_resort = t->history.last_resort;
 	x->may_wait = t->history.may_wait;
 	x->limit_milli = known_limit_milli(t);
+	x->cost_us = t->placement.cost_us;
 	x->backend = (struct bb_bytes){ b->name, strlen(b->name) };
 	x->account = (struct bb_bytes){ account, strlen(account) };
 	x->route = (struct bb_bytes){ r->name, strlen(r->name) };
@@ -245,9 +336,21 @@
 	t->receiver_incarnation = t->entry->o.incarnation;
 	t->not_after_us = t->call->deadline_us;
 	fill_execute(t, &m);
+	bb_metrics_add(BB_METRIC_PLACED_OWN_ZONE, 1);
 	bb_adjacent_execute(t->entry->o.adjacent, &to, NULL, &m.execute);
 }
 
+static void count_placed(const struct bb_attempts *t)
+{
+	bool other = is_in_other_zone(t);
+
+	bb_metrics_add(other ? BB_METRIC_PLACED_OTHER_ZONE :
+			       BB_METRIC_PLACED_OWN_ZONE,
+		       1);
+	if (other)
+		bb_metrics_add(BB_METRIC_ZONE_BYTES, request_bytes(t->call));
+}
+
 static void send_remote(struct bb_attempts *t, struct bb_session *s)
 {
 	struct bb_entry *e = t->entry;
@@ -256,8 +359,10 @@
 	t->receiver_incarnation = s->incarnation;
 	t->not_after_us = bb_session_not_after(s, t->call->deadline_us);
 	fill_execute(t, &m);
-	if (e->o.send(e->o.data, t->host, &m))
+	if (e->o.send(e->o.data, t->host, &m)) {
+		count_placed(t);
 		return;
+	}
 	s->established = false;
 	g_hash_table_remove(e->attempts, &t->id.sequence);
 	t->state = ATTEMPT_NONE;
@@ -603,11 +708,16 @@
 		bb_entry_record_path_answer(e, t->host, false,
 					    bb_clock_now_us());
 	report_load(t, r);
+	if (is_in_other_zone(t))
+		bb_metrics_add(BB_METRIC_ZONE_BYTES,
+			       r->body.size + headers_bytes(r->headers,
+							    r->headers_nr));
 	if (r->reason != BB_REASON_NONE || r->verdict != BB_VERDICT_RAN) {
 		bb_attempts_fail_current(t, r->verdict, r->reason);
 		return;
 	}
 	take_notice(t, r);
+	learn_cost(t, r);
 	bb_call_answer(t->call, r->status, r->headers, r->headers_nr, &r->body);
 	if (!decide_retry(t, &outcome)) {
 		bb_attempts_finish(t);
@@ -721,6 +831,7 @@
 	bb_loop_remove(&e->hello_retry_timer);
 	bb_entry_free_balances(e->balances, e->balances_nr);
 	g_free(e->retry_budgets);
+	bb_cost_delete(e->cost);
 	bb_reserve_delete(e->reserve);
 	if (e->leaving_hosts)
 		g_hash_table_unref(e->leaving_hosts);
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -8,6 +8,7 @@
 
 #include "baobabward/attempt.h"
 #include "baobabward/balance.h"
+#include "baobabward/cost.h"
 #include "baobabward/reserve.h"
 #include "baobabward/retry.h"
 #include "libnode/entry.h"
@@ -40,6 +41,8 @@
  * @backend: backend server of the current attempt, BB_NO_ROW likewise
  * @backend_started_ms: when the backend server of the current attempt started,
  *                      by the configuration
+ * @placement: expected cost and size, for the choice of the backend server; all
+ *             zero without the policy
  * @path: path of the current attempt, NULL when released
  * @receiver_incarnation: incarnation that the current attempt is addressed to
  * @not_after_us: deadline of the attempt in the clock of the receiver
@@ -66,6 +69,7 @@
 	uint32_t host;
 	uint32_t backend;
 	double backend_started_ms;
+	struct bb_placement placement;
 	struct bb_path *path;
 	uint64_t receiver_incarnation;
 	int64_t not_after_us;
@@ -95,6 +99,7 @@
  *                 probes it and is not answered yet, 0 for none
  * @next_probe_us: earliest time of the next probe
  * @retry_budgets: retry budget of each service of the snapshot
+ * @cost: model of the expected costs, NULL until the policy asks for it
  * @reserve: reserves of the client accounts
  * @last_sequence: sequence number last used by an attempt or record query
  * @token_waiters: attempts that wait for a token, oldest first
@@ -112,6 +117,7 @@
 	GArray *probe_sent_us;
 	int64_t next_probe_us;
 	struct bb_retry_budget *retry_budgets;
+	struct bb_cost *cost;
 	struct bb_reserve *reserve;
 	uint64_t last_sequence;
 	GQueue token_waiters;
--- a/src/libroute/cost.c
+++ b/src/libroute/cost.c
@@ -17,6 +17,12 @@
 #define HALF_LIFE_US (60 * BB_US_PER_S)
 /* Samples of a coarser level that a level starts with. */
 #define PRIOR_WEIGHT 4.0
+/* A sample counts with at most this multiple of the mean, so that one wrong time
+ * raises a mean by half; a kind that has really become more expensive is followed
+ * within some requests. */
+#define SAMPLE_MAX_FACTOR 16.0
+/* Weight from which the mean bounds samples. */
+#define BOUND_MIN_WEIGHT 4.0
 /* Share of the age of a request beyond all samples that it is expected to last
  * again. */
 #define BEYOND_SHARE 0.25
@@ -109,8 +115,11 @@
 	double idle = d->total > 0 ? fmax((double)(now_us - d->updated_us), 0) :
 				     0;
 
-	us = MAX(us, 0);
+	us = CLAMP(us, 0, (int64_t)bucket_end_us(BB_COST_BUCKETS - 1));
 	scale(d, exp2(-idle / HALF_LIFE_US));
+	if (d->total >= BOUND_MIN_WEIGHT)
+		us = MIN(us,
+			 (int64_t)(d->sum_us / d->total * SAMPLE_MAX_FACTOR));
 	if (d->total > WEIGHT_MAX - 1)
 		scale(d, (WEIGHT_MAX - 1) / d->total);
 	d->weight[bucket_of((double)us)] += 1;
--- a/src/test_lib/test_cost.cc
+++ b/src/test_lib/test_cost.cc
@@ -191,6 +191,22 @@
 	EXPECT_GT(m.expect("a", "x").mean_us, 60 * MS);
 }
 
+// Guards against one absurd time of a message that decides an estimate, and
+// against one below 0.
+TEST(Cost, AbsurdTimesAreBounded)
+{
+	Model m;
+
+	m.learn("a", "x", INT64_MAX);
+	EXPECT_LE(m.expect("a", "x").mean_us, 66 * S);
+	for (int i = 0; i < 400; i++)
+		m.learn("a", "x", 100 * MS);
+	m.learn("a", "x", INT64_MAX);
+	m.learn("a", "x", INT64_MIN);
+	EXPECT_GE(m.expect("a", "x").mean_us, 100 * MS);
+	EXPECT_LT(m.expect("a", "x").mean_us, 160 * MS);
+}
+
 // Guards against a model that grows with names that callers make up.
 TEST(Cost, MemoryIsBounded)
 {
