--- a/src/test_lib/test_placement.cc
+++ b/src/test_lib/test_placement.cc
@@ -13,6 +13,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,8 @@
 	double late = 0;
 	double searches = 0;
 	size_t requests = 0;
+	// Smallest share of the servers that ran requests in any 2 s.
+	double used = 1;
 };
 
 struct Request {
@@ -136,6 +139,7 @@
 	size_t late = 0;
 	double mean_cost_us = 0;
 	size_t slots = 0;
+	std::set<const Server *> used;
 
 	Sim(const Pattern &pattern, bool by_cost_)
 	    : p(pattern), by_cost(by_cost_)
@@ -335,6 +339,7 @@
 
 		s.running.push_back(q);
 		q->started_us = now;
+		used.insert(&s);
 		at(now + took, [this, &s, q, took] { ran(s, q, took); });
 	}
 	void ran(Server &s, Request *q, int64_t took)
@@ -435,9 +440,19 @@
 		if (now - start < END_US)
 			at(now + p.push_us, [this] { push(); });
 	}
+	void count_used()
+	{
+		if (now - start > WARM_UP_US)
+			r.used = std::min(r.used,
+					  (double)used.size() / servers.size());
+		used.clear();
+		if (now - start < END_US - 2 * S)
+			at(now + 2 * S, [this] { count_used(); });
+	}
 	Result result()
 	{
 		arrivals();
+		count_used();
 		if (p.push_us)
 			at(now, [this] { push(); });
 		while (!events.empty()) {
@@ -461,9 +476,9 @@
 {
 	std::printf("%-16s %2zu servers load %.2f %-9s %6zu requests "
 		    "%7.2f MB between zones p50 %4.0f ms p99 %5.0f ms "
-		    "late %.4f refused searches %.3f\n",
+		    "late %.4f refused searches %.3f used %.2f\n",
 		    name, p.servers, p.load, choice, r.requests, r.cross_mb,
-		    r.p50_ms, r.p99_ms, r.late, r.searches);
+		    r.p50_ms, r.p99_ms, r.late, r.searches, r.used);
 }
 
 struct Pair {
@@ -550,6 +565,24 @@
 	}
 }
 
+// Guards against slow servers that get nothing while there is enough capacity
+// elsewhere: at least 70% of the servers must get requests in any 2 s.
+TEST(Placement, SlowServersStayInUse)
+{
+	for (size_t servers : { 36, 11 })
+		for (int64_t push_us : { 0 * MS, 200 * MS }) {
+			Pattern p = {};
+			Pair x;
+
+			p.servers = servers;
+			p.load = 0.3;
+			p.slow = 0.4;
+			p.push_us = push_us;
+			x = compare("many slow", p);
+			EXPECT_GE(x.after.used, 0.7);
+		}
+}
+
 // Guards against estimates that do harm when they are wrong: all costs, work and
 // speeds are random, by a factor of 16 up and down.
 TEST(Placement, WrongEstimatesCostLittle)
