--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -57,7 +57,8 @@
 
 # fleet_config VERSION: writes the configuration document. fleet_weights and
 # fleet_states, indexed by the number of the backend server, override its weight
-# (fleet_weight, by default 1) and its state (by default "in").
+# (fleet_weight, by default 1) and its state (by default "in"). fleet_policies is
+# the content of the object "policies".
 fleet_weights=()
 fleet_states=()
 fleet_config() {
@@ -76,6 +77,7 @@
 	done
 	cat >"$fleet_dir/config.tmp" <<JSON
 {"version":$1,"automation":${fleet_automation:-true},
+${fleet_policies:+"\"policies\":{$fleet_policies},"}
 "idempotency_window_ms":${fleet_idempotency_window_ms:-2000},
 "hosts":[${hosts%,}],
 "services":[{"name":"orders","floor_percent":60}],
