Balance: reported speeds and times are bounded where they are taken in

Cause: an absurd time or speed in a message overflows the conversion to an integer, and moves the mean of all speeds for long.

Change: both are bounded before they are used. test_placement releases the paths that it holds.

--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/cost.h"
 
 #define DEFAULT_ZONE_PENALTY 0.25
 /* About one service time, after which a request that was running at the time of
@@ -926,7 +927,7 @@
 			    (double)load->work_us / (double)total);
 	if (load->speed_permille)
 		update_mean(&b->mean_speed, SPEED_GAIN,
-			    (double)load->speed_permille * LOAD_UNIT);
+			    (double)ck_pr_load_32(&path->speed) * LOAD_UNIT);
 }
 
 void bb_balance_report(struct bb_balance *b, struct bb_path *path,
@@ -942,7 +943,8 @@
 	ck_pr_store_32(&path->slots, MAX(load->slots, 1));
 	ck_pr_store_64(&path->work_us, (uint64_t)MAX(load->work_us, 0));
 	ck_pr_store_32(&path->requests, (uint32_t)total);
-	ck_pr_store_32(&path->speed, load->speed_permille);
+	ck_pr_store_32(&path->speed,
+		       MIN(load->speed_permille, BB_SPEED_MAX_PERMILLE));
 	learn_report(b, path, load, (double)others, total);
 	ck_pr_store_64(&path->reported_us, (uint64_t)MAX(now_us, 1));
 	ck_pr_store_64(&path->hint_until_us,
--- a/src/libroute/cost.c
+++ b/src/libroute/cost.c
@@ -260,14 +260,16 @@
 			    const struct bb_cost_sample *s)
 {
 	double speed = s->speed_permille;
+	int64_t took_us = CLAMP(s->service_us, 0,
+				(int64_t)bucket_end_us(BB_COST_BUCKETS - 1));
 
 	if (!s->speed_permille)
-		return s->service_us;
+		return took_us;
 	speed = CLAMP(speed, BB_SPEED_MIN_PERMILLE, BB_SPEED_MAX_PERMILLE);
 	if (!(service->speed > 0))
 		service->speed = speed;
 	service->speed += MEAN_GAIN * (speed - service->speed);
-	return (int64_t)((double)s->service_us * speed / service->speed);
+	return (int64_t)((double)took_us * speed / service->speed);
 }
 
 static void learn_bytes(struct kind *k, uint64_t bytes)
--- a/src/test_lib/test_placement.cc
+++ b/src/test_lib/test_placement.cc
@@ -682,6 +682,7 @@
 {
 	Six x, y, z;
 	struct bb_placement unknown = {};
+	std::vector<struct bb_path *> held;
 
 	for (int i = 0; i < 3000; i++) {
 		struct bb_choice a, b, c;
@@ -691,16 +692,18 @@
 		c = bb_balance_place(z.b, &unknown, nullptr, 0, x.now + i);
 		ASSERT_EQ(a.backend, b.backend);
 		ASSERT_EQ(a.backend, c.backend);
-		if (i % 3) {
-			bb_path_release(a.path);
-			bb_path_release(b.path);
-			bb_path_release(c.path);
-		}
+		for (struct bb_path *path : { a.path, b.path, c.path })
+			if (i % 3)
+				bb_path_release(path);
+			else
+				held.push_back(path);
 		if (i % 20 == 0)
 			for (Six *s : { &x, &y, &z })
 				s->report(i / 20 % 6, i % 8, i % 3, i * MS,
 					  500 + i);
 	}
+	for (struct bb_path *path : held)
+		bb_path_release(path);
 }
 
 // Guards against one threshold for all: a queue in the own zone sends small
