--- a/src/test_lib/test_balance.cc
+++ b/src/test_lib/test_balance.cc
@@ -146,7 +146,7 @@
 			struct bb_balance *b = p.balance();
 			for (size_t i = 0; i < n; i++) {
 				int x = g_rand_int_range(g, 0, 8);
-				struct bb_load l = { 0, 0, 4, 1000 };
+				struct bb_load l = { 0, 0, 4, 1000, 0, 0 };
 
 				if (x == 0)
 					bb_balance_set_leaving(b, i, true);
@@ -196,8 +196,8 @@
 {
 	pool p(5);
 	struct bb_balance *b = p.balance();
-	struct bb_load busy = { 4, 4, 4, 0 };
-	struct bb_load idle = { 0, 0, 4, 0 };
+	struct bb_load busy = { 4, 4, 4, 0, 0, 0 };
+	struct bb_load idle = { 0, 0, 4, 0, 0, 0 };
 	std::map<uint32_t, int> fresh, old;
 	std::vector<struct bb_path *> taken;
 
@@ -270,7 +270,7 @@
 {
 	pool p(3), q(2);
 	struct bb_balance *a = p.balance();
-	struct bb_load hint = { 0, 0, 4, 1000 };
+	struct bb_load hint = { 0, 0, 4, 1000, 0, 0 };
 
 	bb_balance_report(a, bb_balance_path(a, 0), &hint, 1);
 	auto c = bb_balance_choose(a, NULL, 0, 2);
@@ -300,7 +300,9 @@
 		threads.emplace_back([b, t] {
 			for (int i = 0; i < 20000; i++) {
 				auto c = bb_balance_choose(b, NULL, 0, i);
-				struct bb_load l = { 1, (uint32_t)i % 3, 4, 0 };
+				struct bb_load l = { 1, (uint32_t)i % 3,
+						     4, 0,
+						     0, 0 };
 
 				if (t == 0)
 					bb_balance_report(b, c.path, &l, i);
@@ -424,7 +426,7 @@
 {
 	SubsetPool p(353);
 	struct bb_balance *b = p.balance_of(7, 24);
-	struct bb_load refusing = { 0, 0, 4, 5000000 };
+	struct bb_load refusing = { 0, 0, 4, 5000000, 0, 0 };
 	auto first = p.chosen(b, 4000);
 	int64_t now = 1000000;
 
--- a/src/test_lib/test_entry_paths.cc
+++ b/src/test_lib/test_entry_paths.cc
@@ -43,7 +43,7 @@
 TEST(EntryPaths, FloorHoldsAfterLaterEjections)
 {
 	Entry x;
-	struct bb_load ejected = { 0, 0, 5, BB_BALANCE_HINT_MAX_US };
+	struct bb_load ejected = { 0, 0, 5, BB_BALANCE_HINT_MAX_US, 0, 0 };
 	GHashTable *leaving =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 
