Breaker: trials that can be sent again, and open times that last

Cause: the first trial after an open breaker may be a booking, which cannot be sent again.

Change: with the field "reported", only idempotent requests are trials in the first 0.4 s after the open time, the open time goes on within 2 s of the last failure, its bound is 1.6 s, and requests are sent elsewhere for 0.1 s while a trial runs. A server with bookings only gets a request within 2 s. Without the field nothing changes.

--- a/include/baobabward/breaker.h
+++ b/include/baobabward/breaker.h
@@ -12,6 +12,11 @@
  * evidence over a longer time and respects the floor, the share of a service's
  * capacity that must remain.
  *
+ * Where nodes report the state of their backend servers (@reported), only
+ * requests that can be sent again serve as trials at first, entry nodes are told
+ * while a trial runs, and a breaker that closed by a trial that succeeded by
+ * chance goes on with the open time that it had reached.
+ *
  * No I/O and no locks; a breaker is used by one thread. Times are microseconds
  * of the caller's monotonic clock.
  */
@@ -33,6 +38,8 @@
  * @trial_running: a trial request has no outcome yet
  * @trial_started_us: when the trial was admitted
  * @last_failure_us: when the last failure was recorded
+ * @reported: nodes report the state of their backend servers; set by the caller
+ * @former_failures: @failures before the breaker was closed last
  */
 struct bb_breaker {
 	int64_t open_until_us;
@@ -40,6 +47,8 @@
 	bool trial_running;
 	int64_t trial_started_us;
 	int64_t last_failure_us;
+	bool reported;
+	uint32_t former_failures;
 };
 
 /**
@@ -92,10 +101,17 @@
  * bb_breaker_open_us() - remaining time for which entry nodes should choose
  * other backend servers.
  *
- * Return: 0 if the breaker is closed or would admit a trial.
+ * Return: 0 if the breaker is closed or would admit a trial. With @reported also
+ * some time while a trial runs.
  */
 int64_t bb_breaker_open_us(const struct bb_breaker *b, int64_t now_us);
 
+/**
+ * bb_breaker_takes_trials() - whether the open time is over, so that one request
+ * at a time is admitted.
+ */
+bool bb_breaker_takes_trials(const struct bb_breaker *b, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/libhealth/breaker.c
+++ b/src/libhealth/breaker.c
@@ -14,6 +14,18 @@
  * serve as trials; afterwards any request does.
  */
 #define IDEMPOTENT_ONLY_US (1500 * BB_US_PER_MS)
+/*
+ * The same two bounds where nodes report the state of their backend servers. A
+ * backend server must get requests again within 2 s after its failure period,
+ * also if there are no idempotent requests.
+ */
+#define REPORTED_OPEN_MAX_US (1600 * BB_US_PER_MS)
+#define REPORTED_IDEMPOTENT_ONLY_US (400 * BB_US_PER_MS)
+/* Time for which requests go elsewhere while a trial runs. */
+#define TRIAL_HINT_US (100 * BB_US_PER_MS)
+/* Time since the last failure within which a new failure belongs to the same
+ * failure period. */
+#define SAME_PERIOD_US (2 * BB_US_PER_S)
 /* A trial without an outcome blocks other requests for at most this time. */
 #define TRIAL_TIMEOUT_US (2 * BB_US_PER_S)
 
@@ -44,6 +56,16 @@
 	       now_us - b->trial_started_us < TRIAL_TIMEOUT_US;
 }
 
+/* Whether only idempotent requests serve as trials. */
+static bool is_idempotent_only(const struct bb_breaker *b, int64_t now_us)
+{
+	if (b->reported)
+		return now_us < b->open_until_us + REPORTED_IDEMPOTENT_ONLY_US;
+	/* After one failure, which may be chance, any request is a trial. */
+	return b->failures > 1 &&
+	       now_us < b->open_until_us + IDEMPOTENT_ONLY_US;
+}
+
 bool bb_breaker_admit(struct bb_breaker *b, bool idempotent, bool last_resort,
 		      int64_t now_us)
 {
@@ -51,9 +73,7 @@
 		return true;
 	if (now_us < b->open_until_us || trial_is_running(b, now_us))
 		return false;
-	/* After one failure, which may be chance, any request is a trial. */
-	if (!idempotent && b->failures > 1 &&
-	    now_us < b->open_until_us + IDEMPOTENT_ONLY_US)
+	if (!idempotent && is_idempotent_only(b, now_us))
 		return false;
 	b->trial_running = true;
 	b->trial_started_us = now_us;
@@ -64,21 +84,26 @@
 {
 	if (b->failures && started_us < b->last_failure_us)
 		return;
+	if (b->failures)
+		b->former_failures = b->failures;
 	b->failures = 0;
 	b->trial_running = false;
 }
 
 void bb_breaker_failed(struct bb_breaker *b, int64_t started_us, int64_t now_us)
 {
+	int64_t max_us = b->reported ? REPORTED_OPEN_MAX_US : OPEN_MAX_US;
 	int64_t open_us = OPEN_MIN_US;
 
 	/* Sent before the open time ended: already counted as one failure. */
 	if (b->failures && !b->trial_running && started_us < b->open_until_us)
 		return;
-	for (uint32_t i = 0; i < b->failures && open_us < OPEN_MAX_US; i++)
+	if (b->reported && !b->failures && b->former_failures &&
+	    now_us - b->last_failure_us < SAME_PERIOD_US)
+		b->failures = b->former_failures;
+	for (uint32_t i = 0; i < b->failures && open_us < max_us; i++)
 		open_us *= 2;
-	b->open_until_us =
-		now_us + (open_us < OPEN_MAX_US ? open_us : OPEN_MAX_US);
+	b->open_until_us = now_us + (open_us < max_us ? open_us : max_us);
 	b->failures++;
 	b->last_failure_us = now_us;
 	b->trial_running = false;
@@ -86,7 +111,19 @@
 
 int64_t bb_breaker_open_us(const struct bb_breaker *b, int64_t now_us)
 {
-	if (!b->failures || now_us >= b->open_until_us)
+	int64_t trial_us;
+
+	if (!b->failures)
+		return 0;
+	if (now_us < b->open_until_us)
+		return b->open_until_us - now_us;
+	if (!b->reported || !trial_is_running(b, now_us))
 		return 0;
-	return b->open_until_us - now_us;
+	trial_us = b->trial_started_us + TRIAL_TIMEOUT_US - now_us;
+	return trial_us < TRIAL_HINT_US ? trial_us : TRIAL_HINT_US;
+}
+
+bool bb_breaker_takes_trials(const struct bb_breaker *b, int64_t now_us)
+{
+	return b->failures && now_us >= b->open_until_us;
 }
--- a/src/test_lib/test_breaker.cc
+++ b/src/test_lib/test_breaker.cc
@@ -105,6 +105,57 @@
 	EXPECT_TRUE(bb_breaker_admit(&b, false, false, 1401 * kMs));
 }
 
+// Guards against bookings as trials while a lookup, which can be sent again,
+// would soon arrive, against many entry nodes that send trials at the same
+// moment, and against a server with bookings only that gets no request within
+// 2 s after its failure period.
+TEST(Breaker, ReportedBreakerTakesOneLookupAsTrial)
+{
+	struct bb_breaker b = {};
+
+	b.reported = true;
+	bb_breaker_failed(&b, 0, 0);
+	EXPECT_FALSE(bb_breaker_takes_trials(&b, 399 * kMs));
+	EXPECT_TRUE(bb_breaker_takes_trials(&b, 400 * kMs));
+	EXPECT_EQ(0, bb_breaker_open_us(&b, 400 * kMs));
+	EXPECT_FALSE(bb_breaker_admit(&b, false, false, 400 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 401 * kMs));
+	for (int i = 0; i < 95; i++)
+		EXPECT_FALSE(bb_breaker_admit(&b, true, false, 401 * kMs));
+	EXPECT_EQ(100 * kMs, bb_breaker_open_us(&b, 401 * kMs));
+	EXPECT_EQ(1 * kMs, bb_breaker_open_us(&b, 2400 * kMs));
+	for (int64_t now = 401 * kMs, i = 0; i < 10; i++) {
+		int64_t failed = now;
+
+		bb_breaker_failed(&b, now, now);
+		while (!bb_breaker_admit(&b, false, false, now))
+			now += kMs;
+		EXPECT_LE(now - failed, 2000 * kMs);
+	}
+}
+
+// Guards against a failure period in which each trial that succeeds by chance
+// makes the next open time the shortest one again.
+TEST(Breaker, ReportedBreakerGoesOnWithItsOpenTime)
+{
+	struct bb_breaker b = {};
+
+	b.reported = true;
+	bb_breaker_failed(&b, 0, 0);
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 400 * kMs));
+	bb_breaker_failed(&b, 400 * kMs, 400 * kMs);
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 1200 * kMs));
+	bb_breaker_succeeded(&b, 1200 * kMs);
+	EXPECT_EQ(0, bb_breaker_open_us(&b, 1200 * kMs));
+	bb_breaker_failed(&b, 1300 * kMs, 1300 * kMs);
+	EXPECT_EQ(1600 * kMs, bb_breaker_open_us(&b, 1300 * kMs));
+	EXPECT_TRUE(bb_breaker_admit(&b, true, false, 2900 * kMs));
+	bb_breaker_succeeded(&b, 2900 * kMs);
+	// Another failure period.
+	bb_breaker_failed(&b, 9000 * kMs, 9000 * kMs);
+	EXPECT_EQ(400 * kMs, bb_breaker_open_us(&b, 9000 * kMs));
+}
+
 namespace
 {
 
