Retries: failures at once are retried in failure periods

Cause: with 95 nodes that share a slack of 150, a budget holds 1.6 retries.

Change: callers may say that an answer failed at once. Unless half of the service's requests fail, its retry needs three quarters of a token and no half-full budget; retries for overload leave that much, and one after a full queue, which loaded no backend server, costs half a token.

--- a/include/baobabward/retry.h
+++ b/include/baobabward/retry.h
@@ -10,6 +10,12 @@
  * while the budget is at least half full. An answer with a server error may be
  * retried for a better one, but only while the budget is at least half full, so
  * that half of it is left for requests that got no answer at all.
+ *
+ * Where nodes report the state of their backend servers, an error that came at
+ * once is taken as a failure period of that backend server, unless the service
+ * as a whole fails. Load pattern: 30% of the backend servers fail 85% of their
+ * requests for some seconds. Such a retry needs no half-full budget and costs
+ * less, and retries for overload leave one for it.
  */
 #ifndef BAOBABWARD_RETRY_H
 #define BAOBABWARD_RETRY_H
@@ -116,14 +122,16 @@
  * all its threads.
  * @tokens: tokens left, in thousandths of a retry
  * @refilled_us: time up to which the reserve was added
+ * @failing_permille: moving share of attempts that failed at once
  * @limits: may be replaced by the thread that decides on retries
  *
- * Initialize with bb_retry_budget_init(). @tokens and @refilled_us are accessed
- * atomically.
+ * Initialize with bb_retry_budget_init(). @tokens, @refilled_us and
+ * @failing_permille are accessed atomically.
  */
 struct bb_retry_budget {
 	int64_t tokens;
 	int64_t refilled_us;
+	uint32_t failing_permille;
 	struct bb_retry_limits limits;
 };
 
@@ -138,6 +146,8 @@
  *                  left before the deadline
  * @status: status code of the backend server's answer; used if @reason is
  *          BB_REASON_NONE
+ * @spare_failures: retries for overload leave tokens for failures at once
+ * @at_once: the answer came at once, as in a failure period of a backend server
  */
 struct bb_retry_attempt {
 	bool idempotent;
@@ -147,6 +157,8 @@
 	int64_t deadline_us;
 	int64_t min_attempt_us;
 	unsigned int status;
+	bool spare_failures;
+	bool at_once;
 };
 
 /**
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -8,6 +8,20 @@
 /* Tokens of one retry; a token is a thousandth of a retry. */
 #define RETRY_TOKENS 1000
 #define OVERLOAD_RETRY_TOKENS (2 * RETRY_TOKENS)
+/*
+ * Tokens of a retry after a failure at once. A failed run made no calls, so that
+ * its repetition needs no margin for repeated calls, which takes a quarter of
+ * the platform's bound.
+ */
+#define AT_ONCE_RETRY_TOKENS (RETRY_TOKENS * 3 / 4)
+/* Tokens of a retry after a full queue that leaves tokens for failures. The
+ * refusal came from a node and loaded no backend server. */
+#define QUEUE_FULL_RETRY_TOKENS (RETRY_TOKENS / 2)
+/* Share of failures from which the service as a whole counts as failing. With
+ * 30% of the backend servers in a failure period it is about 255. */
+#define FAILING_PERMILLE 500
+/* Weight of an attempt in that share: 1 of so many. */
+#define FAILING_GAIN 16
 /* A first attempt adds 10% of a retry. */
 #define DEFAULT_FIRST_ATTEMPT_TOKENS 100
 /* Limit on unused tokens, which keeps bursts of retries small. */
@@ -60,6 +74,7 @@
 	b->limits = *limits;
 	b->tokens = limits->initial_tokens;
 	b->refilled_us = now_us;
+	b->failing_permille = 0;
 }
 
 /* Adds tokens up to the limit. */
@@ -79,9 +94,22 @@
 
 void bb_retry_budget_deposit(struct bb_retry_budget *b)
 {
+	uint32_t f = ck_pr_load_32(&b->failing_permille);
+
+	ck_pr_store_32(&b->failing_permille, f - f / FAILING_GAIN);
 	add_tokens(b, b->limits.first_attempt_tokens);
 }
 
+/* Counts a failure at once; true if the service as a whole does not fail. */
+static bool count_failure(struct bb_retry_budget *b)
+{
+	uint32_t f = ck_pr_load_32(&b->failing_permille);
+
+	f += 1000 / FAILING_GAIN;
+	ck_pr_store_32(&b->failing_permille, f);
+	return f < FAILING_PERMILLE;
+}
+
 /* Adds the reserve for the time since the last call. */
 static void add_reserve(struct bb_retry_budget *b, int64_t now_us)
 {
@@ -177,6 +205,22 @@
 	return c;
 }
 
+/*
+ * Takes the tokens of a retry for overload that leaves those of a failure at
+ * once, or all that fit into the budget.
+ */
+static bool take_overload_tokens(struct bb_retry_budget *b,
+				 const struct bb_retry_attempt *a)
+{
+	bool queue = a->reason == BB_REASON_QUEUE_FULL;
+	int64_t cost = queue ? QUEUE_FULL_RETRY_TOKENS : RETRY_TOKENS;
+	int64_t needed = cost + AT_ONCE_RETRY_TOKENS;
+
+	return take_tokens(
+		b, cost,
+		needed < b->limits.max_tokens ? needed : b->limits.max_tokens);
+}
+
 enum bb_retry_decision bb_retry_decide(struct bb_retry_budget *b,
 				       const struct bb_retry_attempt *a,
 				       int64_t now_us)
@@ -196,11 +240,15 @@
 		break;
 	case BB_RETRY_OVERLOAD:
 		add_reserve(b, now_us);
-		allowed = take_tokens(b, overload_cost, half);
+		allowed = a->spare_failures ?
+				  take_overload_tokens(b, a) :
+				  take_tokens(b, overload_cost, half);
 		break;
 	case BB_RETRY_SERVER_ERROR:
 		add_reserve(b, now_us);
-		allowed = take_tokens(b, RETRY_TOKENS, half);
+		allowed = a->at_once && count_failure(b) ?
+				  take_tokens(b, AT_ONCE_RETRY_TOKENS, 0) :
+				  take_tokens(b, RETRY_TOKENS, half);
 		break;
 	default:
 		return BB_RETRY_NO;
--- a/src/test_lib/test_retry.cc
+++ b/src/test_lib/test_retry.cc
@@ -1,5 +1,6 @@
 #include <glib.h>
 #include <gtest/gtest.h>
+#include <cstdio>
 #include <thread>
 #include <vector>
 
@@ -89,7 +90,8 @@
 
 static struct bb_retry_attempt attempt(enum bb_reason reason)
 {
-	return { true, BB_VERDICT_NOT_RUN, reason, 1, 1000000, 0, 0 };
+	return { true, BB_VERDICT_NOT_RUN, reason, 1, 1000000, 0, 0, false,
+		 false };
 }
 
 // Initializes a budget with the default limits at time 0.
@@ -305,6 +307,56 @@
 	EXPECT_EQ(BB_RETRY_YES, bb_retry_decide(&b, &failed, 0));
 }
 
+// Load pattern: 30% of the backend servers fail 85% of their requests at once,
+// seen by one of 95 nodes that share a slack of 150 retries. Guards against
+// retries of full queues that use up what failures at once need, and against a
+// service that fails as a whole and gets more than the budget of a platform that
+// allows 20%.
+TEST(Retry, FailuresAtOnceAreRetried)
+{
+	struct bb_retry_fleet_limits fleet = { 15, 150, 10000000, 95 };
+	struct bb_retry_limits limits = bb_retry_limits_of_fleet(&fleet);
+	auto full = attempt(BB_REASON_QUEUE_FULL);
+	auto error = attempt(BB_REASON_NONE);
+
+	error.verdict = BB_VERDICT_RAN;
+	error.status = 500;
+	error.deadline_us = full.deadline_us = INT64_MAX;
+	for (bool reported : { false, true }) {
+		struct bb_retry_budget b;
+		int wanted = 0, retried = 0, all_failed = 0, n = 4000;
+		GRand *random = g_rand_new_with_seed(11);
+
+		full.spare_failures = error.spare_failures = reported;
+		error.at_once = reported;
+		bb_retry_budget_init(&b, &limits, 0);
+		for (int i = 0; i < n; i++) {
+			bb_retry_budget_deposit(&b);
+			if (g_rand_double(random) < 0.1)
+				bb_retry_decide(&b, &full, 0);
+			/* A third of the requests are lookups. */
+			if (g_rand_double(random) >= 0.25 / 3)
+				continue;
+			wanted++;
+			retried += bb_retry_decide(&b, &error, 0) ==
+				   BB_RETRY_YES;
+		}
+		for (int i = 0; i < n; i++) {
+			bb_retry_budget_deposit(&b);
+			all_failed += bb_retry_decide(&b, &error, 0) ==
+				      BB_RETRY_YES;
+		}
+		RecordProperty(reported ? "after" : "before",
+			       retried * 100 / wanted);
+		printf("retries of failures at once, in percent: %d%s\n",
+		       retried * 100 / wanted, reported ? " with reports" : "");
+		if (reported)
+			EXPECT_GT(retried * 100, wanted * 85);
+		EXPECT_LT(all_failed, n * 16 / 100);
+		g_rand_free(random);
+	}
+}
+
 // Guards against lost updates when several threads share one budget.
 TEST(Retry, ThreadsShareOneBudget)
 {
