Reports: entry nodes know the state of backend servers in time

Change: with the policy report_bytes_per_s, WELCOME carries the load of the backend servers beside the node, and the entry node applies it before it sends EXECUTE. An attempt that would be refused is withheld and another backend server chosen; that counts as no attempt. The load shows one slot while a breaker takes trials, which bookings avoid.

--- a/include/baobabward/attempt.h
+++ b/include/baobabward/attempt.h
@@ -11,6 +11,10 @@
  * limited in number only. After any other failure, the next attempt is charged
  * to the retry budget.
  *
+ * Where nodes report the state of their backend servers, an attempt may turn out
+ * to be useless before it is sent. It is withheld, and another backend server is
+ * chosen; that counts neither as a redirect nor as an attempt.
+ *
  * The state is in the structs of the caller; times are microseconds of the
  * caller's monotonic clock.
  */
@@ -37,12 +41,15 @@
  * @max_backends_reached: attempts that may reach a backend server, 0 if the
  *                        request has no such limit
  * @max_slot_searches: backend servers asked for a free slot before it waits
+ * @use_reports: nodes report the state of their backend servers; failures at
+ *               once are retried like in a failure period, see retry.h
  * @deadline_us: deadline of the request
  */
 struct bb_attempt_limits {
 	bool idempotent;
 	uint32_t max_backends_reached;
 	uint32_t max_slot_searches;
+	bool use_reports;
 	int64_t deadline_us;
 };
 
@@ -54,6 +61,8 @@
  * @redirects: attempts that put no load on a backend server, failed slot
  *             searches included
  * @failed_searches: slot searches that found no free slot
+ * @withheld: attempts that were not sent
+ * @withheld_redirects: those of them that would have been redirected
  * @backends_reached: attempts that may have reached a backend server
  * @last_resort: the current attempt goes to a backend server although it
  *               redirects requests
@@ -67,6 +76,8 @@
 	bool had_no_slot[BB_ATTEMPTS_MAX];
 	uint32_t redirects;
 	uint32_t failed_searches;
+	uint32_t withheld;
+	uint32_t withheld_redirects;
 	uint32_t backends_reached;
 	bool last_resort;
 	bool may_wait;
@@ -86,16 +97,40 @@
 				   const struct bb_attempt_limits *r,
 				   struct bb_balance *b, int64_t now_us);
 
+/**
+ * bb_attempt_withhold() - whether the current attempt, which is not sent yet, is
+ * useless by the load of its backend server.
+ * @m: attempts so far; updated
+ * @r: limits
+ * @load: recent load of the backend server
+ * @slots: slots of the backend server by the configuration
+ * @now_us: current time
+ *
+ * It is useless if the backend server asks to be avoided, if the request may not
+ * wait and no slot is free, or if the request is not idempotent and the backend
+ * server takes only trials. At most as many attempts are withheld as slot
+ * searches or redirects would be made.
+ *
+ * Return: why it is withheld, so that another backend server is to be chosen;
+ * BB_REASON_NONE if it is to be sent.
+ */
+enum bb_reason bb_attempt_withhold(struct bb_attempt_history *m,
+				   const struct bb_attempt_limits *r,
+				   const struct bb_load *load, uint32_t slots,
+				   int64_t now_us);
+
 /**
  * struct bb_attempt_outcome - how an attempt ended.
  * @verdict: whether it ran
  * @reason: why it failed; BB_REASON_NONE if the backend server answered
  * @status: HTTP status code of that answer
+ * @took_us: time from sending it to that answer
  */
 struct bb_attempt_outcome {
 	enum bb_verdict verdict;
 	enum bb_reason reason;
 	unsigned int status;
+	int64_t took_us;
 };
 
 /**
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -95,6 +95,19 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
+	{ "backend_reports_sent_total", "counter",
+	  "Messages that told another node of changes of backend servers." },
+	{ "backend_report_bytes_total", "counter",
+	  "Bytes charged for those messages." },
+	{ "backend_reports_used_total", "counter",
+	  "Reports of other nodes on backend servers that were used." },
+	{ "backend_reports_ignored_total", "counter",
+	  "Such reports that were too old or of a former start." },
+	{ "attempts_withheld_total", "counter",
+	  "Attempts not sent because a report said that they would be "
+	  "refused." },
+	{ "redirects_total", "counter",
+	  "Attempts that another node refused with a redirect." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -74,6 +74,48 @@
 	return load;
 }
 
+/*
+ * Load for other nodes. A backend server that takes trials has one slot for
+ * them; with @trials, it also asks to be avoided while a trial runs.
+ */
+static struct bb_load reported_load(const struct adjacent_backend *b,
+				    bool trials)
+{
+	struct bb_load load = backend_load(b);
+	int64_t now_us = bb_clock_now_us();
+
+	if (!b->breaker.reported || !b->adjacent->o.breaker ||
+	    !bb_breaker_takes_trials(&b->breaker, now_us))
+		return load;
+	load.slots = 1;
+	if (!trials &&
+	    load.avoid_for_us == bb_breaker_open_us(&b->breaker, now_us))
+		load.avoid_for_us = 0;
+	return load;
+}
+
+size_t bb_adjacent_reports(const struct bb_adjacent *a, bool trials,
+			   struct bb_backend_report *reports, size_t max)
+{
+	GHashTableIter i;
+	gpointer value;
+	size_t nr = 0;
+
+	g_hash_table_iter_init(&i, a->backends);
+	while (nr < max && g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct adjacent_backend *b = value;
+
+		if (!b->configured)
+			continue;
+		reports[nr++] = (struct bb_backend_report){
+			.backend = { b->name, strlen(b->name) },
+			.started_ms = (uint64_t)b->started_ms,
+			.load = reported_load(b, trials),
+		};
+	}
+	return nr;
+}
+
 static void reply(struct bb_adjacent *a, const struct bb_reply_address *to,
 		  const struct bb_request_id *id,
 		  const struct adjacent_backend *b, struct bb_message_result *r)
@@ -83,7 +125,7 @@
 	r->id = *id;
 	r->receiver_incarnation = a->o.incarnation;
 	if (b)
-		r->load = backend_load(b);
+		r->load = reported_load(b, true);
 	m.result = *r;
 	a->o.reply(a->o.data, to, &m);
 }
@@ -324,8 +366,11 @@
 	default:
 		break;
 	}
-	if (!failures != !b->failures)
-		log_breaker(job->backend, MAX(failures, b->failures), now_us);
+	if (!failures == !b->failures)
+		return;
+	log_breaker(job->backend, MAX(failures, b->failures), now_us);
+	if (job->adjacent->o.state_changed)
+		job->adjacent->o.state_changed(job->adjacent->o.data);
 }
 
 static const struct bb_bytes *caller_request_id(const struct bb_job *job)
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -39,7 +39,8 @@
  * @control: control thread, which receives the outcomes of requests; NULL for
  *           none
  * @reply: sends a RESULT
- * @data: passed to @reply
+ * @state_changed: the breaker of a backend server opened or closed, may be NULL
+ * @data: passed to @reply and @state_changed
  * @tracer: receives spans, NULL for none
  * @dialect: names of headers, NULL for the default
  * @notices: what backend servers said of themselves, NULL if they say nothing
@@ -53,6 +54,7 @@
 	struct bb_control *control;
 	void (*reply)(void *data, const struct bb_reply_address *to,
 		      const struct bb_message *result);
+	void (*state_changed)(void *data);
 	void *data;
 	struct bb_tracer *tracer;
 	const struct bb_dialect *dialect;
@@ -108,6 +110,18 @@
  */
 void bb_adjacent_drain(struct bb_adjacent *a);
 
+/**
+ * bb_adjacent_reports() - load of the backend servers beside this node.
+ * @a: adjacent side
+ * @trials: also ask to be avoided while a trial of a circuit breaker runs
+ * @reports: filled in; names are valid until the next configuration
+ * @max: room in @reports
+ *
+ * Return: number of @reports.
+ */
+size_t bb_adjacent_reports(const struct bb_adjacent *a, bool trials,
+			   struct bb_backend_report *reports, size_t max);
+
 /**
  * bb_adjacent_jobs() - number of requests queued or running.
  */
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -77,6 +77,8 @@
 	if (b->started_ms != row->started_ms)
 		b->breaker = (struct bb_breaker){ 0 };
 	b->started_ms = row->started_ms;
+	b->breaker.reported = a->snapshot->config->policies.report_bytes_per_s >
+			      0;
 	apply_limits(b);
 	b->configured = true;
 	now_us = bb_clock_now_us();
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -24,6 +24,9 @@
 #define LOST_CHECK_MIN_AGE_US (20 * BB_US_PER_MS)
 /* Interval of repeating a HELLO, which fails while the connection is set up. */
 #define HELLO_RETRY_US (2 * BB_US_PER_MS)
+/* Age up to which a reported load decides whether an attempt is sent: the loop
+ * iteration of a busy node. Older ones are only weighed by the load balancer. */
+#define REPORT_DECIDES_US (100 * BB_US_PER_MS)
 /* Longest wait for a WELCOME; after it the path counts as failed. */
 #define HELLO_TIMEOUT_US (200 * BB_US_PER_MS)
 /* Retry-After of answers with status 503 or 429. */
@@ -99,6 +102,8 @@
 		.idempotent = r->idempotent,
 		.max_backends_reached = r->max_attempts,
 		.max_slot_searches = t->entry->o.slot_searches,
+		.use_reports = t->entry->snapshot->config->policies
+				       .report_bytes_per_s > 0,
 		.deadline_us = t->call->deadline_us,
 	};
 }
@@ -279,6 +284,39 @@
 	return s->established && now_us - s->welcome_us < SESSION_MAX_AGE_US;
 }
 
+/*
+ * Whether the current attempt, which is not sent yet, would be refused by what
+ * its adjacent node has reported since it was chosen. If so, it is ended.
+ */
+static bool withhold_attempt(struct bb_attempts *t)
+{
+	const struct bb_config *c = t->entry->snapshot->config;
+	struct bb_attempt_limits limits = attempt_limits(t);
+	int64_t now_us = bb_clock_now_us();
+	enum bb_reason reason;
+	struct bb_load load;
+
+	if (!limits.use_reports || t->local || t->backend == BB_NO_ROW ||
+	    !bb_backend_view_load(t->entry->view, c->backends[t->backend].name,
+				  REPORT_DECIDES_US, now_us, &load))
+		return false;
+	reason = bb_attempt_withhold(&t->history, &limits, &load,
+				     c->backends[t->backend].slots, now_us);
+	if (reason == BB_REASON_NONE)
+		return false;
+	bb_metrics_add(BB_METRIC_ATTEMPTS_WITHHELD, 1);
+	bb_log_event(BB_LOG_TRAFFIC, G_LOG_LEVEL_DEBUG, t->call->id,
+		     "attempt_withheld",
+		     "backend=%s reason=%s avoid_ms=%" G_GINT64_FORMAT
+		     " in_flight=%u queued=%u slots=%u",
+		     c->backends[t->backend].name, bb_reason_string[reason],
+		     load.avoid_for_us / BB_US_PER_MS, load.in_flight,
+		     load.queued, load.slots);
+	t->last_reason = reason;
+	release_path(t);
+	return true;
+}
+
 static gboolean on_timer(gpointer data);
 
 void bb_attempts_set_timer(struct bb_attempts *t, int64_t delay_us)
@@ -441,8 +479,11 @@
 		return;
 	}
 	name = e->snapshot->config->backends[t->backend].name;
-	bb_entry_spans_begin_attempt(&t->spans, t->call, name);
-	t->call->attempts_nr = t->history.nr;
+	if (t->spans.attempt)
+		bb_entry_spans_move_attempt(&t->spans, name);
+	else
+		bb_entry_spans_begin_attempt(&t->spans, t->call, name);
+	t->call->attempts_nr = t->history.nr - t->history.withheld;
 	g_free(t->call->backend);
 	t->call->backend = g_strdup(name);
 	t->backend_started_ms =
@@ -530,8 +571,12 @@
 	struct bb_balance *b = call_balance(t);
 
 	/* A refusal for a reason other than load may carry no load. */
-	if (b && t->path && r->load.slots)
-		bb_balance_report(b, t->path, &r->load, bb_clock_now_us());
+	if (!b || !t->path || !r->load.slots)
+		return;
+	bb_balance_report(b, t->path, &r->load, bb_clock_now_us());
+	if (!t->local && t->call->backend)
+		bb_backend_view_result(t->entry->view, t->call->backend,
+				       &r->load, t->sent_us, bb_clock_now_us());
 }
 
 /* False if the backend server has started again under its name, or has left the
@@ -568,8 +613,8 @@
 void bb_entry_result(struct bb_entry *e, const struct bb_message_result *r)
 {
 	struct bb_attempts *t = NULL;
-	struct bb_attempt_outcome outcome = { r->verdict, r->reason,
-					      r->status };
+	struct bb_attempt_outcome outcome = { r->verdict, r->reason, r->status,
+					      INT64_MAX };
 
 	if (r->id.incarnation == e->o.incarnation)
 		t = g_hash_table_lookup(e->attempts, &r->id.sequence);
@@ -596,6 +641,9 @@
 	}
 	g_hash_table_remove(e->attempts, &t->id.sequence);
 	t->state = ATTEMPT_NONE;
+	outcome.took_us = bb_clock_now_us() - t->sent_us;
+	if (r->verdict == BB_VERDICT_NOT_RUN && r->reason == BB_REASON_EJECTED)
+		bb_metrics_add(BB_METRIC_REDIRECTS, 1);
 	bb_metrics_add(t->local ? BB_METRIC_ANSWERS_LOCAL :
 				  BB_METRIC_ANSWERS_REMOTE,
 		       1);
@@ -662,7 +710,10 @@
 		if (!g_hash_table_contains(e->calls, t) ||
 		    t->state != ATTEMPT_WAITS_FOR_SESSION || t->host != host)
 			continue;
-		send_attempt(t);
+		if (withhold_attempt(t))
+			bb_attempts_start_next(t);
+		else
+			send_attempt(t);
 	}
 	g_list_free(all);
 }
@@ -673,6 +724,7 @@
 
 	e->o = *o;
 	e->reserve = bb_reserve_new();
+	e->view = bb_backend_view_new();
 	e->probe_sent_us = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	g_queue_init(&e->token_waiters);
 	e->calls = g_hash_table_new(NULL, NULL);
@@ -722,6 +774,7 @@
 	bb_entry_free_balances(e->balances, e->balances_nr);
 	g_free(e->retry_budgets);
 	bb_reserve_delete(e->reserve);
+	bb_backend_view_delete(e->view);
 	if (e->leaving_hosts)
 		g_hash_table_unref(e->leaving_hosts);
 	bb_paths_delete(e->paths);
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -110,6 +110,23 @@
  */
 void bb_entry_welcome(struct bb_entry *e, uint32_t host);
 
+/**
+ * bb_entry_reports() - take in the load of backend servers that another node
+ * reports of those beside it.
+ * @e: entry side
+ * @host: handle of the other node's host in the snapshot in force, or BB_NO_ROW
+ * @incarnation: of the other node
+ * @clock_us: its clock when it sent them
+ * @reports: the reports
+ * @nr: their number
+ *
+ * Ignored without the policy report_bytes_per_s, or without a session from which
+ * the age of the reports is known.
+ */
+void bb_entry_reports(struct bb_entry *e, uint32_t host, uint64_t incarnation,
+		      int64_t clock_us, const struct bb_backend_report *reports,
+		      size_t nr);
+
 /**
  * bb_entry_tokens_arrived() - tokens arrived: try again to admit the calls
  * that wait for one.
--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -176,6 +176,7 @@
 		rebind_attempt(t, old, e->snapshot);
 	rebuild_budgets(e, old);
 	rebuild_balances(e, old);
+	bb_backend_view_configure(e->view, e->snapshot->config);
 	bb_entry_carry_over_paths(e, old);
 	/* A backend server may have moved to another host. */
 	apply_leaving(e);
--- a/src/libnode/entry_paths.c
+++ b/src/libnode/entry_paths.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/metrics.h"
 #include "libnode/loop.h"
 
 /* Time for which the paths to a stopping node are avoided. */
@@ -129,6 +130,53 @@
 	g_array_set_size(e->probe_sent_us, (guint)c->hosts_nr);
 }
 
+/* False if the report changes nothing. */
+static bool take_report(struct bb_entry *e, uint32_t host,
+			const struct bb_backend_report *r,
+			const struct bb_report_origin *o, int64_t now_us)
+{
+	const struct bb_config *c = e->snapshot->config;
+	uint32_t i =
+		bb_config_find_backend(c, r->backend.data, r->backend.size);
+	struct bb_balance *b;
+	struct bb_path *path;
+
+	if (i == BB_NO_ROW || c->backends[i].host != host)
+		return false;
+	b = e->balances[c->backends[i].service];
+	path = bb_balance_path(b, i);
+	if (!path || !r->load.slots ||
+	    !bb_backend_view_report(
+		    e->view, r, (uint64_t)c->backends[i].started_ms, o, now_us))
+		return false;
+	bb_balance_report(b, path, &r->load, now_us - o->age_min_us);
+	return true;
+}
+
+void bb_entry_reports(struct bb_entry *e, uint32_t host, uint64_t incarnation,
+		      int64_t clock_us, const struct bb_backend_report *reports,
+		      size_t nr)
+{
+	const struct bb_config *c = e->snapshot->config;
+	struct bb_report_origin o = { incarnation, clock_us, 0, 0 };
+	int64_t now_us = bb_clock_now_us();
+	const struct bb_session *s;
+
+	if (!c->policies.report_bytes_per_s || host >= c->hosts_nr || !nr)
+		return;
+	s = bb_sessions_find(e->o.sessions, c->hosts[host].name);
+	if (!s->established || s->incarnation != incarnation) {
+		bb_metrics_add(BB_METRIC_REPORTS_IGNORED, nr);
+		return;
+	}
+	bb_session_age(s, clock_us, now_us, &o.age_min_us, &o.age_max_us);
+	for (size_t i = 0; i < nr; i++)
+		bb_metrics_add(take_report(e, host, &reports[i], &o, now_us) ?
+				       BB_METRIC_REPORTS_USED :
+				       BB_METRIC_REPORTS_IGNORED,
+			       1);
+}
+
 static void avoid_host(struct bb_entry *e, uint32_t host)
 {
 	const struct bb_config *c = e->snapshot->config;
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -7,6 +7,7 @@
 #define BB_NODE_ENTRY_PRIVATE_H
 
 #include "baobabward/attempt.h"
+#include "baobabward/backend_view.h"
 #include "baobabward/balance.h"
 #include "baobabward/reserve.h"
 #include "baobabward/retry.h"
@@ -89,6 +90,7 @@
  *            sent, or of the record query that it waits for
  * @balances: load balancer of each service of the snapshot
  * @balances_nr: number of @balances
+ * @view: reported state of the backend servers beside other nodes
  * @leaving_hosts: names of the hosts that the platform is removing, or NULL
  * @paths: state of the path to each host of the snapshot
  * @probe_sent_us: for each host of the snapshot, when the HELLO was sent that
@@ -107,6 +109,7 @@
 	GHashTable *attempts;
 	struct bb_balance **balances;
 	size_t balances_nr;
+	struct bb_backend_view *view;
 	GHashTable *leaving_hosts;
 	struct bb_paths *paths;
 	GArray *probe_sent_us;
--- a/src/libnode/request_spans.c
+++ b/src/libnode/request_spans.c
@@ -47,6 +47,12 @@
 		bb_traceparent_format(&context, s->traceparent);
 }
 
+void bb_entry_spans_move_attempt(struct bb_entry_spans *s, const char *backend)
+{
+	if (s->attempt)
+		set_text(s->attempt, BB_SPAN_BACKEND, backend);
+}
+
 void bb_entry_spans_end_attempt(struct bb_entry_spans *s,
 				enum bb_verdict verdict, enum bb_reason reason,
 				unsigned int status)
--- a/src/libnode/request_spans.h
+++ b/src/libnode/request_spans.h
@@ -60,6 +60,12 @@
 void bb_entry_spans_begin_attempt(struct bb_entry_spans *s,
 				  const struct bb_call *c, const char *backend);
 
+/**
+ * bb_entry_spans_move_attempt() - the attempt is not sent to the backend server
+ * that was chosen, but to another one.
+ */
+void bb_entry_spans_move_attempt(struct bb_entry_spans *s, const char *backend);
+
 /**
  * bb_entry_spans_end_attempt() - end the span of the attempt, if there is one.
  */
--- a/src/libnode/session.c
+++ b/src/libnode/session.c
@@ -62,6 +62,7 @@
 	s->incarnation = w->incarnation;
 	s->receiver_us = w->receiver_clock_us;
 	s->welcome_us = now_us;
+	s->round_trip_us = now_us - s->hello_us;
 	s->hello_us = 0;
 	return true;
 }
@@ -73,6 +74,17 @@
 	return s->receiver_us + left_us - left_us * CLOCK_DRIFT_PERCENT / 100;
 }
 
+void bb_session_age(const struct bb_session *s, int64_t clock_us,
+		    int64_t now_us, int64_t *min_us, int64_t *max_us)
+{
+	int64_t passed_us = now_us - s->welcome_us;
+	int64_t drift_us = passed_us * CLOCK_DRIFT_PERCENT / 100;
+	int64_t age_us = s->receiver_us + passed_us - clock_us;
+
+	*min_us = MAX(0, age_us - drift_us);
+	*max_us = MAX(0, age_us + drift_us + s->round_trip_us);
+}
+
 void bb_sessions_delete(struct bb_sessions *s)
 {
 	if (!s)
--- a/src/libnode/session.h
+++ b/src/libnode/session.h
@@ -26,6 +26,8 @@
  * @silent: a HELLO was not answered, and nothing has arrived since
  * @used_us: not used
  * @nonce: of the last HELLO
+ * @round_trip_us: time from the HELLO that the last WELCOME answered to that
+ *                 WELCOME
  *
  * Clocks are in microseconds.
  */
@@ -40,6 +42,7 @@
 	bool silent;
 	int64_t used_us;
 	uint64_t nonce;
+	int64_t round_trip_us;
 };
 
 struct bb_sessions;
@@ -77,6 +80,21 @@
  */
 int64_t bb_session_not_after(const struct bb_session *s, int64_t deadline_us);
 
+/**
+ * bb_session_age() - bounds of the time since the receiver's clock showed a
+ * time.
+ * @s: established session
+ * @clock_us: that time
+ * @now_us: own clock now
+ * @min_us: set to the lower bound, at least 0
+ * @max_us: set to the upper bound
+ *
+ * The receiver's clock showed @receiver_us at some time within the round trip
+ * that ended when WELCOME arrived.
+ */
+void bb_session_age(const struct bb_session *s, int64_t clock_us,
+		    int64_t now_us, int64_t *min_us, int64_t *max_us);
+
 void bb_sessions_delete(struct bb_sessions *s);
 
 #endif
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <pthread.h>
 
+#include "baobabward/backend_view.h"
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
 #include "baobabward/metrics.h"
@@ -26,6 +27,12 @@
 #define HOUSEKEEPING_INTERVAL_US (20 * BB_US_PER_MS)
 /* Time without use after which the connection to a node is closed. */
 #define PEER_IDLE_MAX_US (60 * BB_US_PER_S)
+/*
+ * Largest number of reports in a WELCOME. Hosts of the deployments with reports
+ * have one backend server; a host with more reports those first that take no
+ * requests.
+ */
+#define WELCOME_REPORTS_MAX 8
 
 /**
  * enum command_type - what another thread asks of the traffic thread.
@@ -63,7 +70,8 @@
  * @snapshot: configuration in force
  * @housekeeping: periodic timer
  * @hello_senders: last sender of a HELLO by the name of its host; notified when
- *                 this node stops
+ *                 this node stops, and told of changes of the backend servers
+ * @reports: changes of the backend servers that other nodes have to be told
  * @draining: this node is stopping and accepts no more requests of other nodes
  * @in_progress: number of calls and requests, read by other threads
  * @tokens_pending: a COMMAND_TOKENS_ARRIVED is queued; set by other threads
@@ -83,6 +91,7 @@
 	struct bb_snapshot *snapshot;
 	GSource *housekeeping;
 	GHashTable *hello_senders;
+	struct bb_report_sender *reports;
 	bool draining;
 	unsigned int in_progress;
 	unsigned int tokens_pending;
@@ -127,12 +136,107 @@
 	       err.message);
 }
 
+static bool reports_are_on(const struct bb_traffic *t)
+{
+	return t->snapshot->config->policies.report_bytes_per_s > 0;
+}
+
+static bool takes_requests(const struct bb_load *load)
+{
+	return load->avoid_for_us <= 0 &&
+	       load->in_flight + load->queued < load->slots;
+}
+
+/* Moves the reports on backend servers that take no requests to the front. */
+static void order_reports(struct bb_backend_report *reports, size_t nr)
+{
+	size_t front = 0;
+
+	for (size_t i = 0; i < nr; i++) {
+		struct bb_backend_report r = reports[i];
+
+		if (takes_requests(&r.load))
+			continue;
+		reports[i] = reports[front];
+		reports[front++] = r;
+	}
+}
+
+static void observe_backends(struct bb_traffic *t, int64_t now_us)
+{
+	struct bb_backend_report reports[BB_REPORTS_MAX];
+	size_t nr = bb_adjacent_reports(t->adjacent, false, reports,
+					BB_REPORTS_MAX);
+
+	for (size_t i = 0; i < nr; i++)
+		bb_report_sender_observe(t->reports, &reports[i], now_us);
+}
+
+/* Sends the changes of backend servers that are due, as the budget allows. */
+static void send_reports(struct bb_traffic *t)
+{
+	struct bb_message m = { .type = BB_MESSAGE_BACKEND_REPORTS };
+	struct bb_message_backend_reports *r = &m.backend_reports;
+	struct bb_backend_report reports[BB_REPORTS_MAX];
+	int64_t now_us = bb_clock_now_us();
+	const char *host;
+
+	if (!reports_are_on(t) || t->draining)
+		return;
+	observe_backends(t, now_us);
+	r->incarnation = t->o.incarnation;
+	r->clock_us = now_us;
+	r->reports = reports;
+	while ((host = bb_report_sender_next(t->reports, reports,
+					     BB_REPORTS_MAX, &r->reports_nr,
+					     now_us))) {
+		const struct bb_sender *to =
+			g_hash_table_lookup(t->hello_senders, host);
+		struct bb_error err;
+
+		if (!to ||
+		    bb_transport_reply(bb_endpoint_transport(t->endpoint), to,
+				       &m, &err)) {
+			bb_report_sender_forget(t->reports, host);
+			continue;
+		}
+		bb_metrics_add(BB_METRIC_REPORTS_SENT, 1);
+		bb_metrics_add(BB_METRIC_REPORT_BYTES,
+			       bb_report_message_bytes(reports, r->reports_nr));
+	}
+}
+
+static void on_state_changed(void *data)
+{
+	send_reports(data);
+}
+
+/* Nodes that send requests are told of changes. */
+static void count_as_listener(struct bb_traffic *t,
+			      const struct bb_sender *from)
+{
+	const struct bb_config *c = t->snapshot->config;
+
+	if (reports_are_on(t) && from->host < c->hosts_nr)
+		bb_report_sender_heard(t->reports, c->hosts[from->host].name,
+				       bb_clock_now_us());
+}
+
 static void send_welcome(struct bb_traffic *t, const struct bb_sender *to,
 			 const struct bb_message_hello *h)
 {
 	struct bb_message m = { .type = BB_MESSAGE_WELCOME };
 	struct bb_reply_address reply_to = { .sender = *to };
+	struct bb_backend_report reports[BB_REPORTS_MAX];
 
+	if (reports_are_on(t)) {
+		size_t nr = bb_adjacent_reports(t->adjacent, true, reports,
+						BB_REPORTS_MAX);
+
+		order_reports(reports, nr);
+		m.welcome.reports = reports;
+		m.welcome.reports_nr = MIN(nr, WELCOME_REPORTS_MAX);
+	}
 	m.welcome.incarnation = t->o.incarnation;
 	m.welcome.config_version = t->snapshot->config->version;
 	m.welcome.nonce = h->nonce;
@@ -167,6 +271,7 @@
 		g_hash_table_replace(t->hello_senders,
 				     g_strdup(c->hosts[from->host].name),
 				     g_memdup2(from, sizeof(*from)));
+	count_as_listener(t, from);
 	send_welcome(t, from, h);
 }
 
@@ -201,8 +306,11 @@
 	if (host >= c->hosts_nr)
 		return;
 	s = bb_sessions_find(t->sessions, c->hosts[host].name);
-	if (bb_session_welcome(s, w, bb_clock_now_us()))
-		bb_entry_welcome(t->entry, host);
+	if (!bb_session_welcome(s, w, bb_clock_now_us()))
+		return;
+	bb_entry_reports(t->entry, host, w->incarnation, w->receiver_clock_us,
+			 w->reports, w->reports_nr);
+	bb_entry_welcome(t->entry, host);
 }
 
 static void on_message(void *data, struct bb_received_message *r)
@@ -214,6 +322,7 @@
 
 	switch (m->type) {
 	case BB_MESSAGE_EXECUTE:
+		count_as_listener(t, &to.sender);
 		/* Takes ownership of the message. */
 		bb_adjacent_execute(t->adjacent, &to, r, &m->execute);
 		return;
@@ -229,6 +338,13 @@
 	case BB_MESSAGE_WELCOME:
 		handle_welcome(t, to.sender.host, &m->welcome);
 		break;
+	case BB_MESSAGE_BACKEND_REPORTS:
+		bb_entry_reports(t->entry, to.sender.host,
+				 m->backend_reports.incarnation,
+				 m->backend_reports.clock_us,
+				 m->backend_reports.reports,
+				 m->backend_reports.reports_nr);
+		break;
 	default:
 		bb_metrics_add(BB_METRIC_PEER_MESSAGES_BAD, 1);
 		break;
@@ -247,6 +363,10 @@
 			err.message);
 	bb_adjacent_configure(t->adjacent, snapshot);
 	bb_entry_configure(t->entry, snapshot);
+	bb_report_sender_set_rate(t->reports,
+				  snapshot->config->policies.report_bytes_per_s,
+				  bb_clock_now_us());
+	bb_report_sender_configure(t->reports, snapshot->config);
 	bb_snapshot_put(t->snapshot);
 	t->snapshot = snapshot;
 }
@@ -315,6 +435,7 @@
 	struct bb_traffic *t = data;
 
 	publish_in_progress(t);
+	send_reports(t);
 	bb_entry_tick(t->entry, bb_clock_now_us());
 	bb_transport_close_idle(bb_endpoint_transport(t->endpoint),
 				bb_clock_now_us(), PEER_IDLE_MAX_US);
@@ -355,6 +476,7 @@
 		.incarnation = t->o.incarnation,
 		.control = t->o.control,
 		.reply = send_reply,
+		.state_changed = on_state_changed,
 		.data = t,
 		.tracer = t->o.tracer,
 		.dialect = t->o.dialect,
@@ -394,6 +516,7 @@
 		return -1;
 	t->sessions = bb_sessions_new();
 	t->notices = bb_notices_new();
+	t->reports = bb_report_sender_new();
 	ao.notices = t->notices;
 	t->adjacent = bb_adjacent_new(&ao, err);
 	if (!t->adjacent)
@@ -417,6 +540,7 @@
 	bb_adjacent_delete(t->adjacent);
 	bb_sessions_delete(t->sessions);
 	bb_notices_delete(t->notices);
+	bb_report_sender_delete(t->reports);
 	bb_endpoint_delete(t->endpoint);
 	bb_mailbox_delete(t->calls);
 	bb_mailbox_delete(t->commands);
--- a/src/libroute/attempt.c
+++ b/src/libroute/attempt.c
@@ -9,6 +9,15 @@
 #define WAITING_ATTEMPTS 2
 /* Least remaining time for another attempt: a round trip between zones. */
 #define MIN_ATTEMPT_US (2 * BB_US_PER_MS)
+/*
+ * Attempts withheld because they would be redirected. If 30% of the backend
+ * servers ask to be avoided and the entry node knows of none, one request in
+ * 1,400 draws that many of them.
+ */
+#define WITHHELD_MAX 6
+/* Longest time of a failure "at once": failure periods answer within 10 ms, and
+ * the request may have waited for a slot. */
+#define AT_ONCE_US (100 * BB_US_PER_MS)
 
 uint32_t bb_attempt_count_without_redirects(const struct bb_attempt_history *m)
 {
@@ -36,7 +45,9 @@
 	struct bb_choice c;
 	size_t nr;
 
-	m->last_resort = m->redirects - m->failed_searches >= REDIRECTS_MAX;
+	m->last_resort =
+		m->redirects - m->failed_searches - m->withheld_redirects >=
+		REDIRECTS_MAX;
 	m->may_wait = m->failed_searches >= r->max_slot_searches ||
 		      m->nr + WAITING_ATTEMPTS >= BB_ATTEMPTS_MAX;
 	nr = collect_excluded(m, excluded);
@@ -57,6 +68,34 @@
 	return c;
 }
 
+enum bb_reason bb_attempt_withhold(struct bb_attempt_history *m,
+				   const struct bb_attempt_limits *r,
+				   const struct bb_load *load, uint32_t slots,
+				   int64_t now_us)
+{
+	bool full = load->in_flight + load->queued >= load->slots;
+	bool trials_only = load->slots == 1 && slots > 1;
+
+	if (!r->use_reports || m->last_resort || m->nr >= BB_ATTEMPTS_MAX ||
+	    r->deadline_us - now_us <= MIN_ATTEMPT_US)
+		return BB_REASON_NONE;
+	if (load->avoid_for_us > 0 || (trials_only && !r->idempotent)) {
+		if (m->withheld_redirects >= WITHHELD_MAX)
+			return BB_REASON_NONE;
+		m->withheld_redirects++;
+		m->redirects++;
+		m->withheld++;
+		return BB_REASON_EJECTED;
+	}
+	if (m->may_wait || !full || !load->slots)
+		return BB_REASON_NONE;
+	m->had_no_slot[m->nr - 1] = true;
+	m->failed_searches++;
+	m->redirects++;
+	m->withheld++;
+	return BB_REASON_QUEUE_FULL;
+}
+
 /* Whether a backend server may have received the request, run or not. */
 static bool may_have_reached(const struct bb_attempt_outcome *e)
 {
@@ -114,6 +153,8 @@
 		.deadline_us = r->deadline_us,
 		.min_attempt_us = MIN_ATTEMPT_US,
 		.status = e->status,
+		.spare_failures = r->use_reports,
+		.at_once = r->use_reports && e->took_us <= AT_ONCE_US,
 	};
 
 	if (budget && bb_attempt_found_no_slot(m, r, e, now_us)) {
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -10,10 +10,10 @@
 #define OVERLOAD_RETRY_TOKENS (2 * RETRY_TOKENS)
 /*
  * Tokens of a retry after a failure at once. A failed run made no calls, so that
- * its repetition needs no margin for repeated calls, which takes a quarter of
- * the platform's bound.
+ * its repetition needs no margin for repeated calls, for which the platform's
+ * adapter keeps back a quarter of the bound on retries.
  */
-#define AT_ONCE_RETRY_TOKENS (RETRY_TOKENS * 3 / 4)
+#define AT_ONCE_RETRY_TOKENS (RETRY_TOKENS * 4 / 5)
 /* Tokens of a retry after a full queue that leaves tokens for failures. The
  * refusal came from a node and loaded no backend server. */
 #define QUEUE_FULL_RETRY_TOKENS (RETRY_TOKENS / 2)
--- a/src/test_lib/entry_fixture.h
+++ b/src/test_lib/entry_fixture.h
@@ -30,6 +30,13 @@
 	uint32_t limit_milli;
 };
 
+// Load of a backend server that another node reports.
+static inline struct bb_load load_of(uint32_t in_flight, uint32_t slots,
+				     int64_t avoid_us)
+{
+	return { in_flight, 0, slots, avoid_us, 0, 0 };
+}
+
 // The entry side on host h0 of five hosts with one backend server each.
 struct Entry {
 	struct bb_snapshots *snapshots = bb_snapshots_new("h0");
@@ -40,6 +47,8 @@
 	bool finished = false;
 	struct bb_entry *e;
 	int64_t now = 1000 * BB_US_PER_S;
+	// Policies of the configuration.
+	std::string policies;
 
 	explicit Entry(struct bb_entry_options o = {})
 	{
@@ -72,6 +81,7 @@
 		Document d;
 
 		d.version = std::to_string(version);
+		d.extra = policies;
 		d.hosts = d.backends = "";
 		for (int i : order) {
 			std::string n = std::to_string(i);
@@ -153,6 +163,28 @@
 		ASSERT_TRUE(bb_session_welcome(s, &w, bb_clock_now_us()));
 		bb_entry_welcome(e, host);
 	}
+	// Answers the last HELLO to the node on @host with the load of the
+	// backend server beside it.
+	void welcome_with(uint32_t host, const struct bb_load &load)
+	{
+		const char *name = e->snapshot->config->hosts[host].name;
+		struct bb_session *s = bb_sessions_find(sessions, name);
+		std::string backend = "o" + std::string(name + 1);
+		struct bb_backend_report r = {
+			{ backend.data(), backend.size() }, 1000, load
+		};
+		struct bb_message_welcome w = {};
+
+		w.nonce = s->nonce;
+		w.incarnation = 100 + host;
+		w.receiver_clock_us = 5 * BB_US_PER_S;
+		w.reports = &r;
+		w.reports_nr = 1;
+		ASSERT_TRUE(bb_session_welcome(s, &w, bb_clock_now_us()));
+		bb_entry_reports(e, host, w.incarnation, w.receiver_clock_us,
+				 w.reports, w.reports_nr);
+		bb_entry_welcome(e, host);
+	}
 	void welcome_all()
 	{
 		for (uint32_t i = 0; i < 5; i++) {
--- a/src/test_lib/test_attempt.cc
+++ b/src/test_lib/test_attempt.cc
@@ -50,7 +50,8 @@
 	bool should_retry(enum bb_verdict verdict, enum bb_reason reason,
 			  unsigned int status = 0)
 	{
-		struct bb_attempt_outcome outcome = { verdict, reason, status };
+		struct bb_attempt_outcome outcome = { verdict, reason, status,
+						      0 };
 
 		return bb_attempt_decide_retry(&history, &limits, &outcome,
 					       &budget, now);
--- a/src/test_lib/test_entry.cc
+++ b/src/test_lib/test_entry.cc
@@ -174,3 +174,135 @@
 	ASSERT_EQ(2u, x.executes.size());
 	EXPECT_NE(host, x.executes.back().host);
 }
+
+namespace
+{
+
+// Entry side whose configuration has the policy of reports.
+struct ReportedEntry : Entry {
+	explicit ReportedEntry(struct bb_entry_options o) : Entry(o)
+	{
+		policies = ",\"policies\":{\"report_bytes_per_s\":1500}";
+		configure(2, { 0, 1, 2, 3, 4 });
+		leave_own_host();
+	}
+	// The host that the only call waits for.
+	uint32_t awaited() const
+	{
+		for (auto &h : hellos)
+			if (h.second > 0 && !answered_hosts.count(h.first))
+				return h.first;
+		return BB_NO_ROW;
+	}
+	void answer_hello(const struct bb_load &load)
+	{
+		uint32_t host = awaited();
+
+		ASSERT_NE(BB_NO_ROW, host);
+		answered_hosts.insert(host);
+		welcome_with(host, load);
+	}
+	std::set<uint32_t> answered_hosts;
+};
+
+} // namespace
+
+// Guards against a redirect by a node that has just told, in its WELCOME, that
+// its backend server has to be avoided.
+TEST(Entry, OpenBreakerInWelcomeCostsNoAttempt)
+{
+	ReportedEntry x(options());
+	struct bb_attempts *t = x.submit("book-get", TIMEOUT_US);
+
+	x.answer_hello(load_of(0, 5, 400000));
+	x.answer_hello(load_of(0, 5, 400000));
+	EXPECT_EQ(0u, x.executes.size());
+	x.answer_hello(load_of(0, 5, 0));
+	ASSERT_EQ(1u, x.executes.size());
+	EXPECT_FALSE(t->history.last_resort);
+	EXPECT_EQ(1u, bb_attempt_count_without_redirects(&t->history));
+	EXPECT_EQ(1u, t->call->attempts_nr);
+	// The hints hold for further requests.
+	x.now = bb_clock_now_us();
+	EXPECT_EQ(2u, x.chosen_backends().size());
+}
+
+// Guards against a request that is refused or never sent because all nodes ask
+// to be avoided.
+TEST(Entry, RequestIsSentAlthoughAllAskToBeAvoided)
+{
+	ReportedEntry x(options());
+
+	x.submit("book-get", TIMEOUT_US);
+	for (int i = 0; i < 4; i++)
+		x.answer_hello(load_of(0, 5, 400000));
+	ASSERT_EQ(1u, x.executes.size());
+	EXPECT_FALSE(x.finished);
+}
+
+// Guards against a search for a slot that asks a node which has just told that
+// it has none, and against one that does not end.
+TEST(Entry, FullServerInWelcomeCostsNoAttempt)
+{
+	ReportedEntry x(options());
+
+	x.submit("book-get", TIMEOUT_US);
+	x.answer_hello(load_of(5, 5, 0));
+	x.answer_hello(load_of(5, 5, 0));
+	// Two searches have found no slot, so that the request waits.
+	if (x.executes.empty())
+		x.answer_hello(load_of(5, 5, 0));
+	ASSERT_EQ(1u, x.executes.size());
+	EXPECT_TRUE(x.executes[0].may_wait);
+}
+
+// Guards against a booking that becomes the trial of a circuit breaker while
+// another backend server is free, and against lookups that never do.
+TEST(Entry, BookingsAvoidTrials)
+{
+	ReportedEntry booking(options()), lookup(options());
+
+	booking.submit("book", TIMEOUT_US);
+	booking.answer_hello(load_of(0, 1, 0));
+	EXPECT_EQ(0u, booking.executes.size());
+	booking.answer_hello(load_of(0, 5, 0));
+	EXPECT_EQ(1u, booking.executes.size());
+	lookup.submit("book-get", TIMEOUT_US);
+	lookup.answer_hello(load_of(0, 1, 0));
+	EXPECT_EQ(1u, lookup.executes.size());
+}
+
+// Guards against reports that change where requests go although the
+// configuration does not have the policy.
+TEST(Entry, ReportsAreIgnoredWithoutPolicy)
+{
+	Entry x(options());
+
+	x.leave_own_host();
+	x.submit("book-get", TIMEOUT_US);
+	ASSERT_EQ(1u, x.hellos.size());
+	x.welcome_with(x.hellos.begin()->first, load_of(0, 5, 400000));
+	EXPECT_EQ(1u, x.executes.size());
+}
+
+// Guards against reports of another incarnation, of a host that the backend
+// server is not beside, and of unknown age.
+TEST(Entry, UnfitReportsAreIgnored)
+{
+	ReportedEntry x(options());
+	struct bb_backend_report r = { { "o1", 2 },
+				       1000,
+				       load_of(0, 5, 10 * BB_US_PER_S) };
+	const int64_t clock_us = 5 * BB_US_PER_S;
+
+	x.now = bb_clock_now_us();
+	bb_entry_reports(x.e, 1, 101, clock_us, &r, 1);
+	x.welcome_all();
+	bb_entry_reports(x.e, 1, 99, clock_us, &r, 1);
+	bb_entry_reports(x.e, 2, 102, clock_us, &r, 1);
+	bb_entry_reports(x.e, 1, 101, -3 * BB_US_PER_S, &r, 1);
+	bb_entry_reports(x.e, BB_NO_ROW, 101, clock_us, &r, 1);
+	EXPECT_EQ(1u, x.chosen_backends().count("o1"));
+	bb_entry_reports(x.e, 1, 101, clock_us, &r, 1);
+	EXPECT_EQ(0u, x.chosen_backends().count("o1"));
+}
