--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -29,10 +29,11 @@
 #define PEER_IDLE_MAX_US (60 * BB_US_PER_S)
 /*
  * Largest number of reports in a WELCOME. Hosts of the deployments with reports
- * have one backend server; a host with more reports those first that take no
- * requests.
+ * have one backend server; a host with more than a few tells only of those that
+ * take no requests, since 13 reports would make a WELCOME ten times as long.
  */
 #define WELCOME_REPORTS_MAX 8
+#define WELCOME_TELLS_ALL_MAX 2
 
 /**
  * enum command_type - what another thread asks of the traffic thread.
@@ -147,8 +148,9 @@
 	       load->in_flight + load->queued < load->slots;
 }
 
-/* Moves the reports on backend servers that take no requests to the front. */
-static void order_reports(struct bb_backend_report *reports, size_t nr)
+/* Moves the reports on backend servers that take no requests to the front and
+ * returns their number. */
+static size_t order_reports(struct bb_backend_report *reports, size_t nr)
 {
 	size_t front = 0;
 
@@ -160,6 +162,7 @@
 		reports[i] = reports[front];
 		reports[front++] = r;
 	}
+	return front;
 }
 
 static void observe_backends(struct bb_traffic *t, int64_t now_us)
@@ -233,7 +236,8 @@
 		size_t nr = bb_adjacent_reports(t->adjacent, true, reports,
 						BB_REPORTS_MAX);
 
-		order_reports(reports, nr);
+		if (nr > WELCOME_TELLS_ALL_MAX)
+			nr = order_reports(reports, nr);
 		m.welcome.reports = reports;
 		m.welcome.reports_nr = MIN(nr, WELCOME_REPORTS_MAX);
 	}
--- a/src/test_lib/test_traffic.cc
+++ b/src/test_lib/test_traffic.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "config_fixture.h"
 
@@ -70,6 +72,18 @@
 	{
 		return host_row(name, bb_transport_port(t));
 	}
+	// Backend servers of the last message with reports, with the time for
+	// which they ask to be avoided.
+	std::vector<std::pair<std::string, int64_t>> reports;
+
+	void take_reports(const struct bb_backend_report *r, size_t nr)
+	{
+		reports.clear();
+		for (size_t i = 0; i < nr; i++)
+			reports.push_back(
+				{ { r[i].backend.data, r[i].backend.size },
+				  r[i].load.avoid_for_us });
+	}
 	// Waits for a message of a type. Sends HELLO until then if @hello.
 	bool wait(enum bb_message_type type, bool hello)
 	{
@@ -85,8 +99,17 @@
 				bb_transport_send(t, 0, &m, nullptr);
 			g_usleep(5000);
 			while ((r = bb_transport_receive(t))) {
-				found |= bb_received_message_get(r)->type ==
-					 type;
+				const struct bb_message *got =
+					bb_received_message_get(r);
+
+				found |= got->type == type;
+				if (got->type == BB_MESSAGE_WELCOME)
+					take_reports(got->welcome.reports,
+						     got->welcome.reports_nr);
+				if (got->type == BB_MESSAGE_BACKEND_REPORTS)
+					take_reports(
+						got->backend_reports.reports,
+						got->backend_reports.reports_nr);
 				bb_received_message_delete(r);
 			}
 		}
@@ -100,6 +123,8 @@
 	struct bb_snapshots *snapshots = bb_snapshots_new("node");
 	struct bb_traffic *t = nullptr;
 	int version = 0;
+	std::string policies;
+	std::string backends;
 
 	~Traffic()
 	{
@@ -117,7 +142,8 @@
 
 		d.version = std::to_string(++version);
 		d.hosts = other_hosts + "," + host_row("node", port);
-		d.backends = "";
+		d.backends = backends;
+		d.extra = policies;
 		Config c = parse(d.json(), &why);
 		ASSERT_TRUE(c) << why;
 		ASSERT_TRUE(bb_snapshots_swap(snapshots, c.release()));
@@ -153,3 +179,42 @@
 	EXPECT_TRUE(first.wait(BB_MESSAGE_RESULT, false));
 	EXPECT_TRUE(second.wait(BB_MESSAGE_RESULT, false));
 }
+
+namespace
+{
+
+std::string backend_row(const std::string &state)
+{
+	return "{\"name\":\"o1\",\"host\":\"node\",\"service\":\"orders\","
+	       "\"url\":\"http://127.77.0.1:1\",\"weight\":1,\"slots\":5,"
+	       "\"max_connections\":9,\"state\":\"" +
+	       state + "\"}";
+}
+
+} // namespace
+
+// Guards against reports where the configuration does not have the policy, a
+// WELCOME without reports where it has, and a change of a backend server that is
+// not told to a node that sent a message.
+TEST(Traffic, ReportsAreSentWithThePolicy)
+{
+	Traffic x;
+	Peer peer("first", x.port);
+
+	x.backends = backend_row("in");
+	x.configure(peer.row("first"));
+	ASSERT_TRUE(peer.wait(BB_MESSAGE_WELCOME, true));
+	EXPECT_EQ(0u, peer.reports.size());
+	x.policies = ",\"policies\":{\"report_bytes_per_s\":1500}";
+	x.configure(peer.row("first"));
+	for (int i = 0; i < 1000 && peer.reports.empty(); i++)
+		ASSERT_TRUE(peer.wait(BB_MESSAGE_WELCOME, true));
+	ASSERT_EQ(1u, peer.reports.size());
+	EXPECT_EQ("o1", peer.reports[0].first);
+	EXPECT_EQ(0, peer.reports[0].second);
+	x.backends = backend_row("leaving");
+	x.configure(peer.row("first"));
+	ASSERT_TRUE(peer.wait(BB_MESSAGE_BACKEND_REPORTS, false));
+	ASSERT_EQ(1u, peer.reports.size());
+	EXPECT_GT(peer.reports[0].second, 0);
+}
