--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -94,6 +94,18 @@
 	return load;
 }
 
+bool bb_adjacent_load(const struct bb_adjacent *a, const char *backend,
+		      struct bb_load *load)
+{
+	const struct adjacent_backend *b =
+		g_hash_table_lookup(a->backends, backend);
+
+	if (!b || !b->configured)
+		return false;
+	*load = reported_load(b, true);
+	return true;
+}
+
 size_t bb_adjacent_reports(const struct bb_adjacent *a, bool trials,
 			   struct bb_backend_report *reports, size_t max)
 {
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -122,6 +122,18 @@
 size_t bb_adjacent_reports(const struct bb_adjacent *a, bool trials,
 			   struct bb_backend_report *reports, size_t max);
 
+/**
+ * bb_adjacent_load() - load of a backend server beside this node, as it is
+ * reported to other nodes.
+ * @a: adjacent side
+ * @backend: name of the backend server
+ * @load: set
+ *
+ * Return: false if it is not beside this node.
+ */
+bool bb_adjacent_load(const struct bb_adjacent *a, const char *backend,
+		      struct bb_load *load);
+
 /**
  * bb_adjacent_jobs() - number of requests queued or running.
  */
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -286,6 +286,23 @@
 	return s->established && now_us - s->welcome_us < SESSION_MAX_AGE_US;
 }
 
+/* Load of the backend server of the current attempt, if it is known well enough
+ * to decide whether the attempt is sent. */
+static bool current_load(const struct bb_attempts *t, int64_t now_us,
+			 struct bb_load *load)
+{
+	const struct bb_entry *e = t->entry;
+	const char *name = e->snapshot->config->backends[t->backend].name;
+
+	if (!t->local)
+		return bb_backend_view_load(e->view, name, REPORT_DECIDES_US,
+					    now_us, load);
+	if (!e->o.adjacent || !bb_adjacent_load(e->o.adjacent, name, load))
+		return false;
+	bb_balance_report(call_balance(t), t->path, load, now_us);
+	return true;
+}
+
 /*
  * Whether the current attempt, which is not sent yet, would be refused by what
  * its adjacent node has reported since it was chosen. If so, it is ended.
@@ -298,9 +315,8 @@
 	enum bb_reason reason;
 	struct bb_load load;
 
-	if (!limits.use_reports || t->local || t->backend == BB_NO_ROW ||
-	    !bb_backend_view_load(t->entry->view, c->backends[t->backend].name,
-				  REPORT_DECIDES_US, now_us, &load))
+	if (!limits.use_reports || t->backend == BB_NO_ROW ||
+	    !current_load(t, now_us, &load))
 		return false;
 	reason = bb_attempt_withhold(&t->history, &limits, &load,
 				     c->backends[t->backend].slots, now_us);
