--- a/src/test_lib/test_entry.cc
+++ b/src/test_lib/test_entry.cc
@@ -306,3 +306,66 @@
 	bb_entry_reports(x.e, 1, 101, clock_us, &r, 1);
 	EXPECT_EQ(0u, x.chosen_backends().count("o1"));
 }
+
+// Guards against attempts at the backend server beside the entry node that the
+// same process would refuse.
+TEST(Entry, OwnServerThatAsksToBeAvoidedCostsNoAttempt)
+{
+	struct bb_adjacent_options ao = {};
+	struct bb_entry_options o = options();
+	GHashTable *leaving =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	char name[] = "o0";
+	struct bb_backend_health health = {};
+	struct bb_error err;
+
+	ao.incarnation = 1;
+	ao.reply = [](void *, const struct bb_reply_address *,
+		      const struct bb_message *) {};
+	o.adjacent = bb_adjacent_new(&ao, &err);
+	ASSERT_NE(nullptr, o.adjacent) << err.message;
+	{
+		ReportedEntry x(o);
+
+		for (const char *host : { "h2", "h3", "h4" })
+			g_hash_table_add(leaving, g_strdup(host));
+		bb_entry_set_leaving(x.e, leaving);
+		bb_adjacent_configure(o.adjacent, x.e->snapshot);
+		health.backend = name;
+		health.admit = true;
+		health.avoid_until_us = bb_clock_now_us() + BB_US_PER_S;
+		bb_adjacent_health_changed(o.adjacent, &health);
+		for (int i = 0; i < 20; i++)
+			x.submit("book-get", TIMEOUT_US);
+		EXPECT_EQ(20u, bb_entry_calls(x.e));
+		EXPECT_EQ(0u, bb_adjacent_jobs(o.adjacent));
+		EXPECT_EQ(1, x.hellos[1]);
+	}
+	bb_adjacent_delete(o.adjacent);
+}
+
+// Guards against a report that seems younger than it is, which would prolong a
+// hint, or that is taken for one of the future.
+TEST(Session, AgeHasBounds)
+{
+	struct bb_sessions *all = bb_sessions_new();
+	struct bb_session *s = bb_sessions_find(all, "h1");
+	struct bb_message_welcome w = {};
+	struct bb_message m;
+	int64_t min_us, max_us;
+
+	bb_session_hello(s, 1, 1, 1000, &m);
+	w.nonce = m.hello.nonce;
+	w.receiver_clock_us = 50000;
+	ASSERT_TRUE(bb_session_welcome(s, &w, 3000));
+	bb_session_age(s, 50000, 3000, &min_us, &max_us);
+	EXPECT_EQ(0, min_us);
+	EXPECT_EQ(2000, max_us);
+	// 10 s later, with 1% of clock drift.
+	bb_session_age(s, 50000 + 9500000, 10003000, &min_us, &max_us);
+	EXPECT_EQ(400000, min_us);
+	EXPECT_EQ(602000, max_us);
+	bb_session_age(s, 99000000, 10003000, &min_us, &max_us);
+	EXPECT_EQ(0, min_us);
+	bb_sessions_delete(all);
+}
