--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -77,6 +77,7 @@
 	cat >"$fleet_dir/config.tmp" <<JSON
 {"version":$1,"automation":${fleet_automation:-true},
 "idempotency_window_ms":${fleet_idempotency_window_ms:-2000},
+${fleet_policies:+"\"policies\":{$fleet_policies},"}
 "hosts":[${hosts%,}],
 "services":[{"name":"orders","floor_percent":60}],
 "backends":[${backends%,}],
