--- a/src/bench/bench_queue.c
+++ b/src/bench/bench_queue.c
@@ -214,7 +214,11 @@
 
 static struct bb_load server_load(const struct server *v)
 {
-	struct bb_load l = { v->running, v->fifo.length, SLOTS, 0 };
+	struct bb_load l = {
+		.in_flight = v->running,
+		.queued = v->fifo.length,
+		.slots = SLOTS,
+	};
 
 	return v->queue ? bb_queue_load(v->queue, 0) : l;
 }
--- a/src/bench/load_replay.h
+++ b/src/bench/load_replay.h
@@ -468,7 +468,7 @@
 				      enum bb_reason reason,
 				      unsigned int status, int64_t now_us)
 {
-	struct bb_attempt_outcome outcome = { verdict, reason, status };
+	struct bb_attempt_outcome outcome = { verdict, reason, status, 0 };
 	struct bb_attempt_limits limits = load_attempt_limits(r);
 	struct bb_load load = bb_queue_load(r->server->queue, now_us);
 
