Merge: backend state shared in time

Conflicts in lists of metrics, pages and test fixtures were resolved by keeping both sides; test_placement names the new member of struct bb_attempt_outcome.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -103,6 +103,19 @@
 	{ "zone_bytes_total", "counter",
 	  "Bytes of requests sent to nodes in other availability zones, and of "
 	  "responses from there." },
+	{ "backend_reports_sent_total", "counter",
+	  "Messages that told another node of changes of backend servers." },
+	{ "backend_report_bytes_total", "counter",
+	  "Bytes charged for those messages." },
+	{ "backend_reports_used_total", "counter",
+	  "Reports of other nodes on backend servers that were used." },
+	{ "backend_reports_ignored_total", "counter",
+	  "Such reports that were too old or of a former start." },
+	{ "attempts_withheld_total", "counter",
+	  "Attempts not sent because a report said that they would be "
+	  "refused." },
+	{ "redirects_total", "counter",
+	  "Attempts that another node refused with a redirect." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/test_lib/test_placement.cc
+++ b/src/test_lib/test_placement.cc
@@ -322,7 +322,7 @@
 	void refused(Request *q, struct bb_load l)
 	{
 		struct bb_attempt_outcome o = { BB_VERDICT_NOT_RUN,
-						BB_REASON_QUEUE_FULL, 503 };
+						BB_REASON_QUEUE_FULL, 503, 0 };
 		struct bb_attempt_limits m = limits(q);
 
 		bb_balance_report(balances[q->node], q->choice.path, &l, now);
