Config: hosts may be evacuated, services have cold times

Cause: an availability zone is to be taken out of use while its nodes go on serving callers, and backend servers that have just started take few requests. The document could tell neither.

Change: a host may have the column evacuated, a service warmup_ms, warmup_per_s and warmup_max; rows without them are written as before, but for a started_ms of 0, which is left out now. A balance never chooses a backend server of an evacuated host, whatever the floor and the paths are. The load reports in test_balance got the two fields that struct bb_load has gained.

--- a/include/baobabward/balance.h
+++ b/include/baobabward/balance.h
@@ -116,8 +116,8 @@
  * @excluded_nr: number of @excluded
  * @now_us: current time
  *
- * Backend servers that are not in the state "in", are leaving by their host or
- * their own word, or are avoided are not chosen. Paths avoided because of this
+ * Backend servers that are not in the state "in", whose host is evacuated, that
+ * are leaving by their host or their own word, or are avoided are not chosen. Paths avoided because of this
  * node's own timeouts are used as a last resort when no other backend server is
  * eligible; the hints of adjacent nodes are always followed.
  *
@@ -147,7 +147,7 @@
 
 /**
  * bb_balance_choose_any() - choose among all backend servers in the state "in"
- * that are not leaving and whose path is not avoided.
+ * that are neither evacuated nor leaving and whose path is not avoided.
  * @b: balance
  * @now_us: current time
  *
--- a/include/baobabward/config.h
+++ b/include/baobabward/config.h
@@ -36,6 +36,8 @@
  * @data_port: TCP port for requests of other nodes
  * @control_port: TCP port for control messages of other nodes
  * @curve_key: public CURVE key in Z85, empty when links are not encrypted
+ * @evacuated: its availability zone is evacuated: its backend servers get no
+ *             requests, while its node goes on serving callers
  * @zone_id: number of the availability zone, counted from 0 within the
  *           snapshot; equal for equal @zone
  */
@@ -47,6 +49,7 @@
 	uint16_t data_port;
 	uint16_t control_port;
 	char curve_key[BB_CURVE_KEY_SIZE + 1];
+	bool evacuated;
 	uint32_t zone_id;
 };
 
@@ -56,6 +59,12 @@
  * @floor_percent: percentage of the backend servers that ejections must leave
  *                 in use, 0 to 100
  * @health_path: path of the health endpoint of its backend servers
+ * @warmup_ms: time for which a backend server is cold after it started, 0 if
+ *             unknown
+ * @warmup_per_s: requests per second that a cold backend server takes, 0 for no
+ *                limit
+ * @warmup_max: most requests that may reach a cold backend server in any second,
+ *              0 if no such bound is set
  * @backends: handles of its backend servers
  * @backends_nr: number of @backends
  */
@@ -63,6 +72,9 @@
 	char *name;
 	uint32_t floor_percent;
 	char *health_path;
+	uint32_t warmup_ms;
+	double warmup_per_s;
+	double warmup_max;
 	uint32_t *backends;
 	size_t backends_nr;
 };
@@ -94,6 +106,9 @@
  * @state: state set by the operators
  * @started_ms: wall time in milliseconds at which it started, as a registry
  *              tells it; tells its starts under one name apart; 0 if unknown
+ * @cold_until_us: time of the monotonic clock of this process until which a
+ *                 registry tells that it is cold, 0 if it tells none; set by a
+ *                 feed, not part of the document
  */
 struct bb_backend {
 	char *name;
@@ -105,6 +120,7 @@
 	uint32_t max_connections;
 	enum bb_backend_state state;
 	double started_ms;
+	int64_t cold_until_us;
 };
 
 /*
@@ -125,6 +141,8 @@
 #define BB_BACKEND_CONNECTIONS_MAX 1000000
 /* Largest @started_ms of struct bb_backend: whole numbers are exact up to it. */
 #define BB_BACKEND_STARTED_MS_MAX 9007199254740992.0
+/* Largest @warmup_ms of struct bb_service: ten minutes. */
+#define BB_WARMUP_MAX_MS 600000
 
 /**
  * bb_config_is_label() - whether the document takes a string as the name of a
--- a/src/libconfig/config_columns.c
+++ b/src/libconfig/config_columns.c
@@ -60,12 +60,16 @@
 	COLUMN(bb_host, data_port, BB_COLUMN_U16, 1, UINT16_MAX, false),
 	COLUMN(bb_host, control_port, BB_COLUMN_U16, 1, UINT16_MAX, false),
 	COLUMN(bb_host, curve_key, BB_COLUMN_CURVE_KEY, 0, 0, true),
+	SPARSE(bb_host, evacuated, BB_COLUMN_BOOL, 0, 0),
 };
 
 static const struct bb_column service_columns[] = {
 	COLUMN(bb_service, name, BB_COLUMN_LABEL, 0, 0, false),
 	COLUMN(bb_service, floor_percent, BB_COLUMN_U32, 0, 100, false),
 	SPARSE(bb_service, health_path, BB_COLUMN_TARGET, 0, 0),
+	SPARSE(bb_service, warmup_ms, BB_COLUMN_U32, 0, BB_WARMUP_MAX_MS),
+	SPARSE(bb_service, warmup_per_s, BB_COLUMN_REAL, 0, BB_RATE_MAX),
+	SPARSE(bb_service, warmup_max, BB_COLUMN_REAL, 0, BB_RATE_MAX),
 };
 
 static const struct bb_column backend_columns[] = {
--- a/src/libconfig/config_write.c
+++ b/src/libconfig/config_write.c
@@ -152,6 +152,8 @@
 		return !*(const uint32_t *)field;
 	case BB_COLUMN_BOOL:
 		return !*(const bool *)field;
+	case BB_COLUMN_REAL:
+		return *(const double *)field == 0;
 	default:
 		return false;
 	}
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -269,7 +269,8 @@
 	m->backend = handle;
 	m->host = row->host;
 	m->slots = MAX(row->slots, 1);
-	m->in = row->state == BB_BACKEND_IN && row->weight > 0;
+	m->in = row->state == BB_BACKEND_IN && row->weight > 0 &&
+		!host->evacuated;
 	m->weight = m->in ? row->weight : 0;
 	m->path = get_path(o->previous, row->name);
 	m->rank = rank_of(o, host, row->name);
--- a/src/test_lib/test_balance.cc
+++ b/src/test_lib/test_balance.cc
@@ -146,7 +146,7 @@
 			struct bb_balance *b = p.balance();
 			for (size_t i = 0; i < n; i++) {
 				int x = g_rand_int_range(g, 0, 8);
-				struct bb_load l = { 0, 0, 4, 1000 };
+				struct bb_load l = { 0, 0, 4, 1000, 0, 0 };
 
 				if (x == 0)
 					bb_balance_set_leaving(b, i, true);
@@ -173,6 +173,71 @@
 	g_rand_free(g);
 }
 
+namespace
+{
+// One of three zones is evacuated, then all, then none.
+void evacuate(uint32_t floor)
+{
+	pool p(9, floor);
+
+	for (size_t i = 0; i < 9; i += 3)
+		p.hosts[i].evacuated = true;
+	struct bb_balance *b = p.balance();
+
+	for (int round = 0; round < 2; round++) {
+		for (int i = 0; i < 200; i++) {
+			struct bb_choice any = bb_balance_choose_any(b, 1);
+			struct bb_choice least =
+				bb_balance_choose_least_loaded(b, NULL, 0, 1);
+
+			for (auto &c : { any, least })
+				if (c.path) {
+					EXPECT_NE(0u, c.backend % 3);
+					bb_path_release(c.path);
+				}
+			EXPECT_NE(0u, choose(b) % 3);
+		}
+		/* Neither when all others are avoided. */
+		for (uint32_t i = 0; i < 9; i++)
+			bb_balance_avoid(b, bb_balance_path(b, i), 1000, 1);
+	}
+	EXPECT_EQ((uint32_t)BB_NO_ROW, choose(b, 1, { 1, 2, 4, 5, 7, 8 }));
+
+	/* All zones are evacuated. */
+	for (auto &h : p.hosts)
+		h.evacuated = true;
+	struct bb_balance *none = p.balance(b);
+
+	EXPECT_EQ((uint32_t)BB_NO_ROW, choose(none));
+	EXPECT_EQ(nullptr, bb_balance_choose_any(none, 1).path);
+	EXPECT_EQ(nullptr,
+		  bb_balance_choose_least_loaded(none, NULL, 0, 1).path);
+
+	/* They are used again afterwards. */
+	for (auto &h : p.hosts)
+		h.evacuated = false;
+	struct bb_balance *again = p.balance(none);
+	std::map<uint32_t, int> seen;
+
+	for (int i = 0; i < 400; i++)
+		seen[choose(again, 2000)]++;
+	EXPECT_EQ(9u, seen.size());
+	bb_balance_delete(b);
+	bb_balance_delete(none);
+	bb_balance_delete(again);
+}
+} // namespace
+
+// Guards against requests to a zone that is evacuated: as the last resort, to
+// keep the floor, or because all other paths are avoided.
+TEST(Balance, EvacuatedServersAreNeverChosen)
+{
+	for (uint32_t floor : { 0, 70, 100 }) {
+		SCOPED_TRACE(floor);
+		evacuate(floor);
+	}
+}
+
 // Guards against requests that are not distributed by weight.
 TEST(Balance, FollowsWeights)
 {
@@ -196,8 +261,8 @@
 {
 	pool p(5);
 	struct bb_balance *b = p.balance();
-	struct bb_load busy = { 4, 4, 4, 0 };
-	struct bb_load idle = { 0, 0, 4, 0 };
+	struct bb_load busy = { 4, 4, 4, 0, 0, 0 };
+	struct bb_load idle = { 0, 0, 4, 0, 0, 0 };
 	std::map<uint32_t, int> fresh, old;
 	std::vector<struct bb_path *> taken;
 
@@ -270,7 +335,7 @@
 {
 	pool p(3), q(2);
 	struct bb_balance *a = p.balance();
-	struct bb_load hint = { 0, 0, 4, 1000 };
+	struct bb_load hint = { 0, 0, 4, 1000, 0, 0 };
 
 	bb_balance_report(a, bb_balance_path(a, 0), &hint, 1);
 	auto c = bb_balance_choose(a, NULL, 0, 2);
@@ -300,7 +365,9 @@
 		threads.emplace_back([b, t] {
 			for (int i = 0; i < 20000; i++) {
 				auto c = bb_balance_choose(b, NULL, 0, i);
-				struct bb_load l = { 1, (uint32_t)i % 3, 4, 0 };
+				struct bb_load l = { 1, (uint32_t)i % 3,
+						     4, 0,
+						     0, 0 };
 
 				if (t == 0)
 					bb_balance_report(b, c.path, &l, i);
@@ -424,7 +491,7 @@
 {
 	SubsetPool p(353);
 	struct bb_balance *b = p.balance_of(7, 24);
-	struct bb_load refusing = { 0, 0, 4, 5000000 };
+	struct bb_load refusing = { 0, 0, 4, 5000000, 0, 0 };
 	auto first = p.chosen(b, 4000);
 	int64_t now = 1000000;
 
--- a/src/test_lib/test_config.cc
+++ b/src/test_lib/test_config.cc
@@ -536,6 +536,39 @@
 	EXPECT_EQ(4u, bb_config_diff(plain.get(), c.get(), nullptr, nullptr));
 }
 
+// Guards against an evacuation or a cold time that is lost on the way through a
+// document, and against either where the document has none.
+TEST(Config, EvacuationAndColdTimesAreKept)
+{
+	std::string why;
+	auto plain = parse(Document().json(), &why);
+	Document d;
+
+	d.hosts.insert(d.hosts.find("}"), ",\"evacuated\":true");
+	d.services.insert(d.services.find("}"),
+			  ",\"warmup_ms\":3000,\"warmup_per_s\":11.5,"
+			  "\"warmup_max\":24.5");
+	auto c = parse(d.json(), &why);
+
+	ASSERT_TRUE(c) << why;
+	auto again = parse(text_of(c.get()), &why);
+
+	ASSERT_TRUE(again) << why;
+	EXPECT_TRUE(again->hosts[0].evacuated);
+	EXPECT_FALSE(again->hosts[1].evacuated);
+	EXPECT_EQ(3000u, again->services[0].warmup_ms);
+	EXPECT_EQ(11.5, again->services[0].warmup_per_s);
+	EXPECT_EQ(24.5, again->services[0].warmup_max);
+	EXPECT_EQ(0, again->services[1].warmup_per_s);
+	EXPECT_FALSE(plain->hosts[0].evacuated);
+	EXPECT_EQ(std::string::npos, text_of(plain.get()).find("warmup"));
+	EXPECT_EQ(std::string::npos, text_of(plain.get()).find("evacuated"));
+	EXPECT_EQ(4u, bb_config_diff(plain.get(), c.get(), nullptr, nullptr));
+	d.hosts.replace(d.hosts.find("\"evacuated\":true"), 16,
+			"\"evacuated\":1");
+	EXPECT_FALSE(parse(d.json(), &why));
+}
+
 // Guards against a key in an error message, which is logged: an operator may
 // paste a key into any field.
 TEST(Config, ErrorsShowNoKey)
