--- a/include/baobabward/directory.h
+++ b/include/baobabward/directory.h
@@ -43,6 +43,11 @@
  * @leaving: it is not given new requests
  * @started_ms: wall time at which it started, as reported by itself; tells its
  *              starts apart. Of two ids with one address, the later start wins.
+ * @warmup_left_ms: time from the write of the entry for which it stays cold, 0 if
+ *                  it is not cold
+ * @cold_until_us: latest end of the cold time, 0 if the entry tells none; set by
+ *                 the directory from the time at which it first saw
+ *                 @warmup_left_ms
  */
 struct bb_directory_entry {
 	char *id;
@@ -52,6 +57,8 @@
 	uint32_t slots;
 	bool leaving;
 	int64_t started_ms;
+	int64_t warmup_left_ms;
+	int64_t cold_until_us;
 };
 
 /**
--- a/include/baobabward/notice.h
+++ b/include/baobabward/notice.h
@@ -1,6 +1,6 @@
 /*
  * What a backend server says of itself in its answers: the rate of requests
- * that it accepts, and that it is leaving.
+ * that it accepts, that it is leaving, and for how long it stays cold.
  *
  * A dialect decodes it from the headers of an answer, see dialect.h.
  */
@@ -9,6 +9,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "baobabward/wire.h"
 
@@ -31,12 +32,16 @@
  * @limit_per_s: requests per second that the backend server accepts from all
  *               nodes together, at least 0, if @limit is BB_LIMIT_NAMED
  * @leaving: the backend server is leaving and should get no new requests
+ * @tells_warmup: it says for how long it stays cold
+ * @warmup_us: time for which it stays cold, if @tells_warmup
  * @unreadable: number of values that cannot be decoded
  */
 struct bb_notice {
 	enum bb_limit_kind limit;
 	double limit_per_s;
 	bool leaving;
+	bool tells_warmup;
+	int64_t warmup_us;
 	unsigned int unreadable;
 };
 
--- a/src/libmember/directory.c
+++ b/src/libmember/directory.c
@@ -227,6 +227,33 @@
 	       a->leaving == b->leaving && a->started_ms == b->started_ms;
 }
 
+/* A list may have the same write again, which then tells nothing of the present
+ * time. */
+static int64_t cold_until(const struct item *known,
+			  const struct bb_directory_entry *e, int64_t now_us)
+{
+	const struct bb_directory_entry *k = known ? &known->entry : NULL;
+
+	if (k && k->started_ms == e->started_ms &&
+	    k->warmup_left_ms == e->warmup_left_ms)
+		return k->cold_until_us;
+	return e->warmup_left_ms > 0 ?
+		       now_us + e->warmup_left_ms * BB_US_PER_MS :
+		       0;
+}
+
+/* Only the node beside a backend server paces its requests, so that a cold time
+ * alone is no change for the others. */
+static void update_cold_time(struct bb_directory *d, struct item *i,
+			     const struct bb_directory_entry *e)
+{
+	if (i->entry.cold_until_us != e->cold_until_us &&
+	    !g_strcmp0(e->address, d->self_address))
+		d->changed = true;
+	i->entry.warmup_left_ms = e->warmup_left_ms;
+	i->entry.cold_until_us = e->cold_until_us;
+}
+
 static void note_departure(struct bb_directory *d,
 			   const struct bb_directory_entry *e, int64_t now_us)
 {
@@ -301,10 +328,12 @@
 				    i->entry.started_ms;
 	x = find_departure(d, e);
 	entry.leaving = e->leaving || (x && x->leaving);
+	entry.cold_until_us = cold_until(i, e, now_us);
 	update_host(d, e, now_us);
 	if (i && same_entry(&i->entry, e)) {
 		i->listed = true;
 		i->drop_us = INT64_MAX;
+		update_cold_time(d, i, e);
 		return;
 	}
 	if (e->leaving)
--- a/src/test_lib/test_directory.cc
+++ b/src/test_lib/test_directory.cc
@@ -272,6 +272,59 @@
 	EXPECT_TRUE(bb_directory_tick(x.d, x.now));
 }
 
+// Guards against a cold time that begins anew with each list that repeats the same
+// write, and against one of another host that changes the configuration.
+TEST(Directory, ColdTimeCountsFromTheWriteThatToldIt)
+{
+	Directory x;
+	auto put = [&](const char *id, const char *address, int64_t left_ms,
+		       int64_t started_ms = 1) {
+		struct bb_directory_entry e = {};
+
+		e.id = (char *)id;
+		e.service = (char *)"orders";
+		e.zone = (char *)"za";
+		e.address = (char *)address;
+		e.slots = 5;
+		e.started_ms = started_ms;
+		e.warmup_left_ms = left_ms;
+		bb_directory_put(x.d, &e, x.now);
+		return bb_directory_tick(x.d, x.now);
+	};
+	auto cold_until = [&](size_t i) {
+		size_t nr;
+		auto *e = bb_directory_entries(x.d, nullptr, &nr);
+		int64_t us = e[i]->cold_until_us;
+
+		g_free(e);
+		return us;
+	};
+	int64_t first = x.now;
+
+	EXPECT_TRUE(put("a", "10.0.0.1", 3000));
+	EXPECT_TRUE(put("b", "10.0.0.2", 3000));
+	EXPECT_EQ(first + 3 * kSecond, cold_until(0));
+	x.now += kSecond;
+	bb_directory_begin_list(x.d);
+	EXPECT_FALSE(put("a", "10.0.0.1", 3000));
+	EXPECT_FALSE(put("b", "10.0.0.2", 3000));
+	bb_directory_end_list(x.d, x.now);
+	EXPECT_EQ(first + 3 * kSecond, cold_until(0));
+	EXPECT_TRUE(put("a", "10.0.0.1", 1900));
+	EXPECT_EQ(x.now + 1900 * BB_US_PER_MS, cold_until(0));
+	EXPECT_FALSE(put("b", "10.0.0.2", 1900));
+	EXPECT_EQ(x.now + 1900 * BB_US_PER_MS, cold_until(1));
+	x.now += 5 * kSecond;
+	EXPECT_TRUE(put("a", "10.0.0.1", 0));
+	EXPECT_EQ(0, cold_until(0));
+	/* The next start, which happens to be as cold. */
+	EXPECT_TRUE(put("a", "10.0.0.1", 3000, 2));
+	EXPECT_EQ(x.now + 3 * kSecond, cold_until(0));
+	x.now += kSecond;
+	EXPECT_TRUE(put("a", "10.0.0.1", 3000, 3));
+	EXPECT_EQ(x.now + 3 * kSecond, cold_until(0));
+}
+
 // Guards against requests to a leaving backend server that a restored registry
 // has as ready again, and against one that stays out of use after it has started
 // again.
