Health: evacuated hosts count as lost capacity

Cause: ejections are bounded by the capacity that they leave, in which backend servers of an evacuated zone would have counted although they get no requests.

Change: permits, pools and the failure detection treat them like backend servers that are not in the state "in". The table of test_permit got hosts.

--- a/src/libhealth/health.c
+++ b/src/libhealth/health.c
@@ -340,7 +340,8 @@
 		b->handle = i;
 		b->pool = pool_get(h, c, row->service, pools_by_name);
 		b->dirty = true;
-		b->configured_in_service = row->state == BB_BACKEND_IN;
+		b->configured_in_service = row->state == BB_BACKEND_IN &&
+					   !c->hosts[row->host].evacuated;
 		set_in_service(h, b, b->configured_in_service && !h->leaving,
 			       now_us);
 		b->pool->suspects += consults_pool(b);
--- a/src/libhealth/permit.c
+++ b/src/libhealth/permit.c
@@ -69,10 +69,11 @@
 	return (x < y) - (x > y);
 }
 
-static bool takes_requests(const struct bb_permits_options *o,
+static bool takes_requests(const struct bb_config *c,
+			   const struct bb_permits_options *o,
 			   const struct bb_backend *b)
 {
-	return b->state == BB_BACKEND_IN &&
+	return b->state == BB_BACKEND_IN && !c->hosts[b->host].evacuated &&
 	       !(o && o->leaving && o->leaving(o->data, b->host));
 }
 
@@ -90,7 +91,7 @@
 		double capacity = b->slots * b->weight;
 
 		total += capacity;
-		if (!takes_requests(o, b))
+		if (!takes_requests(c, o, b))
 			continue;
 		left += capacity;
 		in[nr++] = capacity;
--- a/src/libhealth/pool.c
+++ b/src/libhealth/pool.c
@@ -56,7 +56,8 @@
 		m->backend = s->backends[i];
 		m->zone = c->hosts[b->host].zone_id;
 		m->local = b->host == host;
-		m->in_service = b->state == BB_BACKEND_IN;
+		m->in_service = b->state == BB_BACKEND_IN &&
+				!c->hosts[b->host].evacuated;
 	}
 	return p;
 }
--- a/src/test_lib/test_permit.cc
+++ b/src/test_lib/test_permit.cc
@@ -24,6 +24,7 @@
 	std::vector<bb_backend> backends;
 	std::vector<std::string> names;
 	std::vector<uint32_t> handles;
+	std::vector<bb_host> hosts = std::vector<bb_host>(kNodes);
 	bb_service service = {};
 	bb_config config = {};
 
@@ -46,6 +47,8 @@
 		service.backends = handles.data();
 		service.backends_nr = nr;
 		config.automation = true;
+		config.hosts = hosts.data();
+		config.hosts_nr = hosts.size();
 		config.services = &service;
 		config.services_nr = 1;
 		config.backends = backends.data();
@@ -759,3 +762,15 @@
 	a.want_all();
 	EXPECT_EQ(1, a.granted());
 }
+
+// Guards against ejections that leave less than the floor beside a zone that is
+// evacuated.
+TEST(Permit, EvacuatedHostsCountAsLostCapacity)
+{
+	OwnGrantor a;
+
+	a.table.hosts[3].evacuated = true;
+	bb_permits_set_config(a.p, &a.table.config, a.now);
+	a.want_all();
+	EXPECT_EQ(1, a.granted());
+}
