Adjacent: cold backend servers are paced, evacuated ones refused

Cause: a backend server that has just started, or became cold again, crashes well above some 11 requests a second. When a zone is taken back after an evacuation, all of its backend servers get their requests at the same moment.

Change: warmup.h tells from starts, registrations, answers, broken connections and the end of an evacuation which rate the adjacent node may start; after the cold time it doubles three times. The pace of the queue is the lower one of that and of the limit that the backend server named. What is only assumed is settled by one health check, at most one a second. Refusals of a cold backend server tell for how long to avoid it. Requests that wait for an evacuated backend server, or arrive for one, are refused as a redirect; those that run finish.

--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -168,6 +168,14 @@
  */
 void bb_queue_set_rate(struct bb_queue *q, double rate_per_s, int64_t now_us);
 
+/**
+ * bb_queue_rate_wait_us() - time until the limit on the rate allows the start of
+ * a request besides those that wait.
+ *
+ * Return: 0 if it allows one now, or if there is no limit.
+ */
+int64_t bb_queue_rate_wait_us(const struct bb_queue *q, int64_t now_us);
+
 /**
  * bb_queue_push() - add a request.
  * @q: queue
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -95,6 +95,17 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
+	{ "hosts_evacuated", "gauge",
+	  "Hosts in the configuration in force whose availability zone is "
+	  "evacuated." },
+	{ "cold_times_total", "counter",
+	  "Times at which a backend server beside this node became cold, or was "
+	  "assumed to be." },
+	{ "warmup_checks_total", "counter",
+	  "Health checks sent to learn whether a backend server is cold." },
+	{ "cold_refusals_total", "counter",
+	  "Requests refused because a backend server beside this node is "
+	  "cold." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -56,6 +56,7 @@
 	g_free(b->name);
 	g_free(b->url);
 	bb_loop_remove(&b->wake_timer);
+	bb_adjacent_cancel_check(b);
 	bb_queue_delete(b->queue);
 	g_free(b);
 }
@@ -68,6 +69,11 @@
 
 	load.avoid_for_us =
 		MAX(left_us, bb_breaker_open_us(&b->breaker, now_us));
+	/* A request that came earlier would find no free start. */
+	if (bb_warmup_is_cold(&b->warmup, now_us))
+		load.avoid_for_us =
+			MAX(load.avoid_for_us,
+			    bb_queue_rate_wait_us(b->queue, now_us));
 	load.avoid_for_us = MAX(0, load.avoid_for_us);
 	if (bb_adjacent_is_leaving(b))
 		load.avoid_for_us = MAX(load.avoid_for_us, LEAVING_AVOID_US);
@@ -99,6 +105,9 @@
 		.status = bb_reason_status(reason),
 	};
 
+	if (b && reason == BB_REASON_QUEUE_FULL &&
+	    bb_warmup_is_cold(&b->warmup, bb_clock_now_us()))
+		bb_metrics_add(BB_METRIC_COLD_REFUSALS, 1);
 	reply(a, to, id, b, &r);
 }
 
@@ -421,6 +430,8 @@
 		bb_metrics_add(BB_METRIC_FOREIGN_ANSWERS, 1);
 	if (r->end == BB_EXECUTION_DONE || r->end == BB_EXECUTION_REFUSED)
 		take_notice(job, &r->notice);
+	if (is_of_present_start(job))
+		bb_adjacent_note_answer(b, r, job->started_us);
 	report_observation(job, outcome_kind(r), r->latency_us,
 			   r->new_connection, r->opened_us);
 	/* Errors may come at once and would distort the mean service time. */
@@ -619,7 +630,8 @@
 	if (!r || r->answered)
 		return;
 	r->limit_per_s = x->limit_milli / 1000.0;
-	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
+	b->named_limit_per_s = r->limit_per_s;
+	bb_adjacent_apply_rate(b, now_us);
 }
 
 void bb_adjacent_execute(struct bb_adjacent *a,
@@ -783,6 +795,7 @@
 
 	for (GList *l = all; l; l = l->next) {
 		check_stalled(l->data, now_us);
+		bb_adjacent_tick_warmup(l->data, now_us);
 		bb_adjacent_start_queued(l->data);
 	}
 	g_list_free(all);
@@ -830,8 +843,14 @@
 
 void bb_adjacent_delete(struct bb_adjacent *a)
 {
+	GHashTableIter i;
+	gpointer value;
+
 	if (!a)
 		return;
+	g_hash_table_iter_init(&i, a->backends);
+	while (g_hash_table_iter_next(&i, NULL, &value))
+		bb_adjacent_cancel_check(value);
 	bb_loop_remove(&a->expire_timer);
 	bb_executor_delete(a->executor);
 	g_hash_table_foreach_remove(a->jobs, remove_job, NULL);
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -9,7 +9,7 @@
 bool bb_adjacent_is_leaving(const struct adjacent_backend *b)
 {
 	return !b->configured || b->state != BB_BACKEND_IN || b->said_leaving ||
-	       b->adjacent->host_leaving;
+	       b->evacuated || b->adjacent->host_leaving;
 }
 
 struct bb_notice_record *bb_adjacent_record(const struct adjacent_backend *b,
@@ -40,12 +40,13 @@
 {
 	if (!r)
 		return;
-	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
+	b->named_limit_per_s = r->limit_per_s;
+	bb_adjacent_apply_rate(b, now_us);
 	b->said_leaving = r->leaving;
 	drain_if_leaving(b);
 }
 
-static void configure_backend(struct bb_adjacent *a,
+static void configure_backend(struct bb_adjacent *a, const struct bb_config *c,
 			      const struct bb_backend *row)
 {
 	struct adjacent_backend *b =
@@ -57,6 +58,7 @@
 		.refuse = bb_adjacent_queue_refused,
 		.data = a,
 	};
+	bool started = !b || b->started_ms != row->started_ms;
 	int64_t now_us;
 
 	if (!b) {
@@ -65,6 +67,7 @@
 		b->adjacent = a;
 		b->admit = true;
 		b->weight = 1.0;
+		b->named_limit_per_s = -1;
 		b->queue = bb_queue_new(&qo);
 		g_hash_table_insert(a->backends, b->name, b);
 	}
@@ -80,7 +83,9 @@
 	apply_limits(b);
 	b->configured = true;
 	now_us = bb_clock_now_us();
+	bb_adjacent_configure_warmup(b, c, row, started, now_us);
 	bb_adjacent_apply_notices(b, bb_adjacent_record(b, now_us), now_us);
+	bb_adjacent_tick_warmup(b, now_us);
 }
 
 static gboolean is_gone(gpointer key, gpointer value, gpointer data)
@@ -107,7 +112,7 @@
 		((struct adjacent_backend *)value)->configured = false;
 	for (size_t n = 0; n < c->backends_nr; n++)
 		if (c->backends[n].host == snapshot->self)
-			configure_backend(a, &c->backends[n]);
+			configure_backend(a, c, &c->backends[n]);
 	g_hash_table_foreach_remove(a->backends, is_gone, NULL);
 	g_hash_table_iter_init(&i, a->backends);
 	while (g_hash_table_iter_next(&i, NULL, &value))
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -1,13 +1,16 @@
 /*
- * State of the adjacent side, shared by adjacent.c (requests) and
- * adjacent_config.c (configuration, health and hosts that leave).
+ * State of the adjacent side, shared by adjacent.c (requests),
+ * adjacent_config.c (configuration, health and hosts that leave) and
+ * adjacent_warmup.c (cold backend servers).
  */
 #ifndef BB_NODE_ADJACENT_PRIVATE_H
 #define BB_NODE_ADJACENT_PRIVATE_H
 
 #include "baobabward/breaker.h"
 #include "baobabward/queue.h"
+#include "baobabward/warmup.h"
 #include "libnode/adjacent.h"
+#include "libnode/executor.h"
 
 /**
  * struct adjacent_backend - a backend server beside this node.
@@ -24,6 +27,12 @@
  * @last_answer_us: when it last answered without a server error
  * @started_ms: when it started, by the configuration
  * @said_leaving: it said in an answer that it is leaving
+ * @evacuated: its availability zone is evacuated
+ * @named_limit_per_s: limit on the rate of its requests that it named, negative
+ *                     for none
+ * @warmup: whether it is cold
+ * @warmup_check: health check in progress that is to tell, NULL if there is none
+ * @logged_cold: the last event in the log said that it is cold
  * @configured: the current snapshot has it beside this node
  */
 struct adjacent_backend {
@@ -43,6 +52,11 @@
 	int64_t last_answer_us;
 	double started_ms;
 	bool said_leaving;
+	bool evacuated;
+	double named_limit_per_s;
+	struct bb_warmup warmup;
+	struct bb_execution *warmup_check;
+	bool logged_cold;
 	bool configured;
 };
 
@@ -105,7 +119,7 @@
 /**
  * bb_adjacent_is_leaving() - whether a backend server accepts no new requests
  * because of its state in the configuration, because it said so, or because its
- * host is leaving.
+ * host is leaving or its availability zone is evacuated.
  */
 bool bb_adjacent_is_leaving(const struct adjacent_backend *b);
 
@@ -122,4 +136,49 @@
 			       const struct bb_notice_record *r,
 			       int64_t now_us);
 
+/* adjacent_warmup.c */
+
+/**
+ * bb_adjacent_apply_rate() - set the pace of a backend server's requests: the
+ * lower one of the limit that it named and the rate that it takes while it is
+ * cold.
+ */
+void bb_adjacent_apply_rate(struct adjacent_backend *b, int64_t now_us);
+
+/**
+ * bb_adjacent_configure_warmup() - apply what a configuration tells of cold times
+ * and of evacuation.
+ * @b: the backend server
+ * @c: the configuration
+ * @row: row of the backend server
+ * @started: it, or this node, has started since the configuration before
+ * @now_us: current time
+ */
+void bb_adjacent_configure_warmup(struct adjacent_backend *b,
+				  const struct bb_config *c,
+				  const struct bb_backend *row, bool started,
+				  int64_t now_us);
+
+/**
+ * bb_adjacent_note_answer() - apply what the end of a request tells of a cold
+ * time.
+ * @b: backend server, still of the start that the request was sent to
+ * @r: how the request ended
+ * @sent_us: when it was sent
+ */
+void bb_adjacent_note_answer(struct adjacent_backend *b,
+			     const struct bb_execution_result *r,
+			     int64_t sent_us);
+
+/**
+ * bb_adjacent_tick_warmup() - set the present rate, and send a health check if
+ * one is due.
+ */
+void bb_adjacent_tick_warmup(struct adjacent_backend *b, int64_t now_us);
+
+/**
+ * bb_adjacent_cancel_check() - end a health check that is in progress.
+ */
+void bb_adjacent_cancel_check(struct adjacent_backend *b);
+
 #endif
--- a/src/libnode/control_config.c
+++ b/src/libnode/control_config.c
@@ -171,10 +171,21 @@
 	bb_lease_map_unref(old);
 }
 
+static uint64_t count_evacuated(const struct bb_config *c)
+{
+	uint64_t n = 0;
+
+	for (size_t i = 0; i < c->hosts_nr; i++)
+		n += c->hosts[i].evacuated;
+	return n;
+}
+
 static void report_in_force(const struct bb_control *c)
 {
 	uint64_t version = bb_control_config(c)->version;
 
+	bb_metrics_set(BB_METRIC_HOSTS_EVACUATED,
+		       count_evacuated(bb_control_config(c)));
 	bb_metrics_set(BB_METRIC_CONFIG_VERSION, version);
 	bb_metrics_set(BB_METRIC_CONFIG_ROWS_REFUSED,
 		       bb_control_config(c)->refusals_nr);
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -331,6 +331,11 @@
 	bb_pace_set(&q->pace, rate_per_s, now_us);
 }
 
+int64_t bb_queue_rate_wait_us(const struct bb_queue *q, int64_t now_us)
+{
+	return bb_pace_wait_us(&q->pace, q->waiting, now_us);
+}
+
 uint32_t bb_queue_running(const struct bb_queue *q)
 {
 	return q->running;
