--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -65,7 +65,8 @@
 	for ((i = 0; i < fleet_nodes; i++)); do
 		hosts+="{\"name\":\"host$i\",\"region\":\"r1\",\"zone\":\"z$((i % 3))\",
 \"address\":\"$fleet_address\",\"data_port\":$((fleet_base_port + i * 10 + 2)),
-\"control_port\":$((fleet_base_port + i * 10 + 3)),\"curve_key\":\"$(fleet_curve_public $i)\"},"
+\"control_port\":$((fleet_base_port + i * 10 + 3)),\"curve_key\":\"$(fleet_curve_public $i)\",
+\"evacuated\":$([ "${fleet_evacuated_host:-}" = "$i" ] && echo true || echo false)},"
 	done
 	for ((i = 0; i < fleet_backends; i++)); do
 		state=${fleet_states[$i]:-in}
