--- a/src/test_lib/test_balance.cc
+++ b/src/test_lib/test_balance.cc
@@ -173,6 +173,71 @@
 	g_rand_free(g);
 }
 
+namespace
+{
+// One of three zones is evacuated, then all, then none.
+void evacuate(uint32_t floor)
+{
+	pool p(9, floor);
+
+	for (size_t i = 0; i < 9; i += 3)
+		p.hosts[i].evacuated = true;
+	struct bb_balance *b = p.balance();
+
+	for (int round = 0; round < 2; round++) {
+		for (int i = 0; i < 200; i++) {
+			struct bb_choice any = bb_balance_choose_any(b, 1);
+			struct bb_choice least =
+				bb_balance_choose_least_loaded(b, NULL, 0, 1);
+
+			for (auto &c : { any, least })
+				if (c.path) {
+					EXPECT_NE(0u, c.backend % 3);
+					bb_path_release(c.path);
+				}
+			EXPECT_NE(0u, choose(b) % 3);
+		}
+		/* Neither when all others are avoided. */
+		for (uint32_t i = 0; i < 9; i++)
+			bb_balance_avoid(b, bb_balance_path(b, i), 1000, 1);
+	}
+	EXPECT_EQ((uint32_t)BB_NO_ROW, choose(b, 1, { 1, 2, 4, 5, 7, 8 }));
+
+	/* All zones are evacuated. */
+	for (auto &h : p.hosts)
+		h.evacuated = true;
+	struct bb_balance *none = p.balance(b);
+
+	EXPECT_EQ((uint32_t)BB_NO_ROW, choose(none));
+	EXPECT_EQ(nullptr, bb_balance_choose_any(none, 1).path);
+	EXPECT_EQ(nullptr,
+		  bb_balance_choose_least_loaded(none, NULL, 0, 1).path);
+
+	/* They are used again afterwards. */
+	for (auto &h : p.hosts)
+		h.evacuated = false;
+	struct bb_balance *again = p.balance(none);
+	std::map<uint32_t, int> seen;
+
+	for (int i = 0; i < 400; i++)
+		seen[choose(again, 2000)]++;
+	EXPECT_EQ(9u, seen.size());
+	bb_balance_delete(b);
+	bb_balance_delete(none);
+	bb_balance_delete(again);
+}
+} // namespace
+
+// Guards against requests to a zone that is evacuated: as the last resort, to
+// keep the floor, or because all other paths are avoided.
+TEST(Balance, EvacuatedServersAreNeverChosen)
+{
+	for (uint32_t floor : { 0, 70, 100 }) {
+		SCOPED_TRACE(floor);
+		evacuate(floor);
+	}
+}
+
 // Guards against requests that are not distributed by weight.
 TEST(Balance, FollowsWeights)
 {
