--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -95,6 +95,38 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
+	{ "placed_own_zone_total", "counter",
+	  "Attempts sent to backend servers in this node's availability "
+	  "zone." },
+	{ "placed_other_zone_total", "counter",
+	  "Attempts sent to backend servers in other availability zones." },
+	{ "zone_bytes_total", "counter",
+	  "Bytes of requests sent to nodes in other availability zones, and of "
+	  "responses from there." },
+	{ "backend_reports_sent_total", "counter",
+	  "Messages that told another node of changes of backend servers." },
+	{ "backend_report_bytes_total", "counter",
+	  "Bytes charged for those messages." },
+	{ "backend_reports_used_total", "counter",
+	  "Reports of other nodes on backend servers that were used." },
+	{ "backend_reports_ignored_total", "counter",
+	  "Such reports that were too old or of a former start." },
+	{ "attempts_withheld_total", "counter",
+	  "Attempts not sent because a report said that they would be "
+	  "refused." },
+	{ "redirects_total", "counter",
+	  "Attempts that another node refused with a redirect." },
+	{ "hosts_evacuated", "gauge",
+	  "Hosts in the configuration in force whose availability zone is "
+	  "evacuated." },
+	{ "cold_times_total", "counter",
+	  "Times at which a backend server beside this node became cold, or was "
+	  "assumed to be." },
+	{ "warmup_checks_total", "counter",
+	  "Health checks sent to learn whether a backend server is cold." },
+	{ "cold_refusals_total", "counter",
+	  "Requests refused because a backend server beside this node is "
+	  "cold." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -58,10 +58,53 @@
 	g_free(b->name);
 	g_free(b->url);
 	bb_loop_remove(&b->wake_timer);
+	bb_adjacent_cancel_check(b);
 	bb_queue_delete(b->queue);
 	g_free(b);
 }
 
+/* Limit on the requests examined for the work of a backend server; beyond it
+ * the work is that of as many requests of the same mean. */
+#define WORK_JOBS_MAX 64
+
+static bool places_by_cost(const struct bb_adjacent *a)
+{
+	return a->snapshot && a->snapshot->config->policies.place_by_cost;
+}
+
+/* Expected time of a request on a backend server of mean speed. */
+static int64_t job_cost_us(const struct bb_job *job)
+{
+	int64_t cost_us = job->request.cost_us;
+
+	return cost_us > 0 ? MIN(cost_us, EXECUTE_TIMEOUT_MAX_US) :
+			     bb_queue_mean_service_us(job->backend->queue);
+}
+
+static int64_t remaining_work_us(const struct adjacent_backend *b,
+				 int64_t now_us)
+{
+	int64_t total = (int64_t)bb_queue_running(b->queue) +
+			bb_queue_waiting(b->queue);
+	int64_t work_us = 0;
+	int64_t nr = 0;
+	GHashTableIter i;
+	gpointer value;
+
+	g_hash_table_iter_init(&i, b->adjacent->jobs);
+	while (nr < WORK_JOBS_MAX && g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct bb_job *job = value;
+
+		if (job->backend != b)
+			continue;
+		work_us += bb_server_cost_remaining_us(
+			&b->cost, job_cost_us(job),
+			job->execution ? now_us - job->started_us : -1, now_us);
+		nr++;
+	}
+	return nr && total > nr ? work_us / nr * total : work_us;
+}
+
 static struct bb_load backend_load(const struct adjacent_backend *b)
 {
 	int64_t now_us = bb_clock_now_us();
@@ -70,12 +113,75 @@
 
 	load.avoid_for_us =
 		MAX(left_us, bb_breaker_open_us(&b->breaker, now_us));
+	/* A request that came earlier would find no free start. */
+	if (bb_warmup_is_cold(&b->warmup, now_us))
+		load.avoid_for_us =
+			MAX(load.avoid_for_us,
+			    bb_queue_rate_wait_us(b->queue, now_us));
 	load.avoid_for_us = MAX(0, load.avoid_for_us);
 	if (bb_adjacent_is_leaving(b))
 		load.avoid_for_us = MAX(load.avoid_for_us, LEAVING_AVOID_US);
+	if (places_by_cost(b->adjacent)) {
+		load.work_us = remaining_work_us(b, now_us);
+		load.speed_permille = bb_server_cost_speed(&b->cost, now_us);
+	}
 	return load;
 }
 
+/*
+ * Load for other nodes. A backend server that takes trials has one slot for
+ * them; with @trials, it also asks to be avoided while a trial runs.
+ */
+static struct bb_load reported_load(const struct adjacent_backend *b,
+				    bool trials)
+{
+	struct bb_load load = backend_load(b);
+	int64_t now_us = bb_clock_now_us();
+
+	if (!b->breaker.reported || !b->adjacent->o.breaker ||
+	    !bb_breaker_takes_trials(&b->breaker, now_us))
+		return load;
+	load.slots = 1;
+	if (!trials &&
+	    load.avoid_for_us == bb_breaker_open_us(&b->breaker, now_us))
+		load.avoid_for_us = 0;
+	return load;
+}
+
+bool bb_adjacent_load(const struct bb_adjacent *a, const char *backend,
+		      struct bb_load *load)
+{
+	const struct adjacent_backend *b =
+		g_hash_table_lookup(a->backends, backend);
+
+	if (!b || !b->configured)
+		return false;
+	*load = reported_load(b, true);
+	return true;
+}
+
+size_t bb_adjacent_reports(const struct bb_adjacent *a, bool trials,
+			   struct bb_backend_report *reports, size_t max)
+{
+	GHashTableIter i;
+	gpointer value;
+	size_t nr = 0;
+
+	g_hash_table_iter_init(&i, a->backends);
+	while (nr < max && g_hash_table_iter_next(&i, NULL, &value)) {
+		const struct adjacent_backend *b = value;
+
+		if (!b->configured)
+			continue;
+		reports[nr++] = (struct bb_backend_report){
+			.backend = { b->name, strlen(b->name) },
+			.started_ms = (uint64_t)b->started_ms,
+			.load = reported_load(b, trials),
+		};
+	}
+	return nr;
+}
+
 static void reply(struct bb_adjacent *a, const struct bb_reply_address *to,
 		  const struct bb_request_id *id,
 		  const struct adjacent_backend *b, struct bb_message_result *r)
@@ -85,7 +191,7 @@
 	r->id = *id;
 	r->receiver_incarnation = a->o.incarnation;
 	if (b)
-		r->load = backend_load(b);
+		r->load = reported_load(b, true);
 	m.result = *r;
 	a->o.reply(a->o.data, to, &m);
 }
@@ -101,6 +207,9 @@
 		.status = bb_reason_status(reason),
 	};
 
+	if (b && reason == BB_REASON_QUEUE_FULL &&
+	    bb_warmup_is_cold(&b->warmup, bb_clock_now_us()))
+		bb_metrics_add(BB_METRIC_COLD_REFUSALS, 1);
 	reply(a, to, id, b, &r);
 }
 
@@ -326,8 +435,11 @@
 	default:
 		break;
 	}
-	if (!failures != !b->failures)
-		log_breaker(job->backend, MAX(failures, b->failures), now_us);
+	if (!failures == !b->failures)
+		return;
+	log_breaker(job->backend, MAX(failures, b->failures), now_us);
+	if (job->adjacent->o.state_changed)
+		job->adjacent->o.state_changed(job->adjacent->o.data);
 }
 
 static const struct bb_bytes *caller_request_id(const struct bb_job *job)
@@ -361,7 +473,8 @@
 		"backend=%s end=%s status=%u queued_ms=%" G_GINT64_FORMAT
 		" took_ms=%" G_GINT64_FORMAT
 		" new_connection=%d port=%u body_end=%s bytes=%zu running=%u"
-		" waiting=%u slots=%u limit=%g",
+		" waiting=%u slots=%u limit=%g cost_ms=%" G_GINT64_FORMAT
+		" speed_permille=%u",
 		job->backend->name, bb_execution_end_string[r->end], r->status,
 		(job->started_us - job->queue_entry.pushed_us) / BB_US_PER_MS,
 		r->latency_us / BB_US_PER_MS, r->new_connection, r->local_port,
@@ -369,7 +482,9 @@
 		bb_queue_running(q), bb_queue_waiting(q),
 		bb_queue_load(q, bb_clock_now_us()).slots,
 		r->notice.limit == BB_LIMIT_NAMED ? r->notice.limit_per_s :
-						    -1.0);
+						    -1.0,
+		job->request.cost_us / BB_US_PER_MS,
+		bb_server_cost_speed(&job->backend->cost, bb_clock_now_us()));
 	if (r->end != BB_EXECUTION_DONE)
 		bb_log(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, name,
 		       "request to %s failed: %s", job->backend->name,
@@ -403,6 +518,23 @@
 	bb_adjacent_apply_notices(b, r, now_us);
 }
 
+/* Errors may come at once and say nothing of the cost of the request. Return:
+ * time of the request in its slot, 0 if it tells nothing. */
+static int64_t learn_cost(struct bb_job *job,
+			  const struct bb_execution_result *r)
+{
+	int64_t now_us = bb_clock_now_us();
+	int64_t took_us = now_us - job->started_us;
+
+	if (!places_by_cost(job->adjacent) || r->end != BB_EXECUTION_DONE ||
+	    r->status >= 500)
+		return 0;
+	if (is_of_present_start(job))
+		bb_server_cost_finished(&job->backend->cost, job_cost_us(job),
+					took_us, now_us);
+	return MAX(1, took_us);
+}
+
 static void on_executed(void *data, const struct bb_execution_result *r)
 {
 	struct bb_job *job = data;
@@ -423,6 +555,8 @@
 		bb_metrics_add(BB_METRIC_FOREIGN_ANSWERS, 1);
 	if (r->end == BB_EXECUTION_DONE || r->end == BB_EXECUTION_REFUSED)
 		take_notice(job, &r->notice);
+	if (is_of_present_start(job))
+		bb_adjacent_note_answer(b, r, job->started_us);
 	report_observation(job, outcome_kind(r), r->latency_us,
 			   r->new_connection, r->opened_us);
 	/* Errors may come at once and would distort the mean service time. */
@@ -430,6 +564,7 @@
 			r->end == BB_EXECUTION_DONE && r->status < 500,
 			bb_clock_now_us());
 	set_result(&m, r);
+	m.service_us = learn_cost(job, r);
 	bb_adjacent_spans_end(&job->spans, m.verdict, m.reason, r->status);
 	free_job(job);
 	reply(a, &to, &id, b, &m);
@@ -626,7 +761,8 @@
 	if (!r || r->answered)
 		return;
 	r->limit_per_s = x->limit_milli / 1000.0;
-	bb_queue_set_rate(b->queue, r->limit_per_s, now_us);
+	b->named_limit_per_s = r->limit_per_s;
+	bb_adjacent_apply_rate(b, now_us);
 }
 
 void bb_adjacent_execute(struct bb_adjacent *a,
@@ -790,6 +926,7 @@
 
 	for (GList *l = all; l; l = l->next) {
 		check_stalled(l->data, now_us);
+		bb_adjacent_tick_warmup(l->data, now_us);
 		bb_adjacent_start_queued(l->data);
 	}
 	g_list_free(all);
@@ -837,8 +974,14 @@
 
 void bb_adjacent_delete(struct bb_adjacent *a)
 {
+	GHashTableIter i;
+	gpointer value;
+
 	if (!a)
 		return;
+	g_hash_table_iter_init(&i, a->backends);
+	while (g_hash_table_iter_next(&i, NULL, &value))
+		bb_adjacent_cancel_check(value);
 	bb_loop_remove(&a->expire_timer);
 	bb_executor_delete(a->executor);
 	g_hash_table_foreach_remove(a->jobs, remove_job, NULL);
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -24,6 +24,9 @@
 #define LOST_CHECK_MIN_AGE_US (20 * BB_US_PER_MS)
 /* Interval of repeating a HELLO, which fails while the connection is set up. */
 #define HELLO_RETRY_US (2 * BB_US_PER_MS)
+/* Age up to which a reported load decides whether an attempt is sent: the loop
+ * iteration of a busy node. Older ones are only weighed by the load balancer. */
+#define REPORT_DECIDES_US (100 * BB_US_PER_MS)
 /* Longest wait for a WELCOME; after it the path counts as failed. */
 #define HELLO_TIMEOUT_US (200 * BB_US_PER_MS)
 /* Retry-After of answers with status 503 or 429. */
@@ -91,6 +94,94 @@
 	return service == BB_NO_ROW ? NULL : t->entry->balances[service];
 }
 
+static struct bb_bytes text(const char *s)
+{
+	return (struct bb_bytes){ s, strlen(s) };
+}
+
+static uint64_t headers_bytes(const struct bb_header *h, size_t nr)
+{
+	uint64_t bytes = 0;
+
+	for (size_t i = 0; i < nr; i++)
+		bytes += h[i].name.size + h[i].value.size;
+	return bytes;
+}
+
+static uint64_t request_bytes(const struct bb_call *c)
+{
+	return c->body->len + strlen(c->target) +
+	       headers_bytes((struct bb_header *)(void *)c->headers->data,
+			     c->headers->len);
+}
+
+static struct bb_cost_kind cost_kind(const struct bb_call *c)
+{
+	const struct bb_config *config = c->snapshot->config;
+
+	return (struct bb_cost_kind){
+		.service = text(config->services[c->service].name),
+		.route = text(bb_call_route(c)->name),
+		.method = text(c->method),
+		.account = text(bb_call_account_name(c)),
+		.body_bytes = c->body->len,
+	};
+}
+
+/* Fills in what the choice has to know of the request, if the policy asks for
+ * it. */
+static void set_placement(struct bb_attempts *t)
+{
+	struct bb_entry *e = t->entry;
+	const struct bb_call *c = t->call;
+	int64_t target_us = bb_call_route(c)->target_latency_ms * BB_US_PER_MS;
+	struct bb_cost_estimate x;
+	struct bb_cost_kind kind;
+
+	t->placement = (struct bb_placement){ 0 };
+	if (!e->snapshot->config->policies.place_by_cost)
+		return;
+	if (!e->cost)
+		e->cost = bb_cost_new(0);
+	kind = cost_kind(c);
+	x = bb_cost_expect(e->cost, &kind);
+	t->placement = (struct bb_placement){
+		.cost_us = x.mean_us,
+		.service_us = x.service_mean_us,
+		.bytes = request_bytes(c) + x.response_bytes,
+		.target_us = target_us ? c->arrived_us + target_us : 0,
+		.deadline_us = c->deadline_us,
+	};
+}
+
+static void learn_cost(struct bb_attempts *t, const struct bb_message_result *r)
+{
+	struct bb_entry *e = t->entry;
+	struct bb_cost_kind kind;
+	const struct bb_cost_sample sample = {
+		.service_us = r->service_us,
+		.speed_permille = r->load.speed_permille,
+		.response_bytes =
+			r->body.size + headers_bytes(r->headers, r->headers_nr),
+	};
+
+	if (!e->cost || !e->snapshot->config->policies.place_by_cost ||
+	    r->status >= 500)
+		return;
+	kind = cost_kind(t->call);
+	bb_cost_learn(e->cost, &kind, &sample, bb_clock_now_us());
+}
+
+/* Whether the current attempt is at a node in another availability zone. */
+static bool is_in_other_zone(const struct bb_attempts *t)
+{
+	const struct bb_snapshot *s = t->entry->snapshot;
+
+	return !t->local && t->host != BB_NO_ROW && s->self != BB_NO_ROW &&
+	       s->config->hosts[t->host].zone_id !=
+		       s->config->hosts[s->self].zone_id;
+}
+
 static struct bb_attempt_limits attempt_limits(const struct bb_attempts *t)
 {
 	const struct bb_route *r = bb_call_route(t->call);
@@ -99,7 +190,10 @@
 		.idempotent = r->idempotent,
 		.max_backends_reached = r->max_attempts,
 		.max_slot_searches = t->entry->o.slot_searches,
+		.use_reports = t->entry->snapshot->config->policies
+				       .report_bytes_per_s > 0,
 		.deadline_us = t->call->deadline_us,
+		.placement = &t->placement,
 	};
 }
 
@@ -112,6 +206,7 @@
 
 	if (!b)
 		return false;
+	set_placement(t);
 	bb_balance_filter_paths(b, t->entry->paths, t->entry->o.keep_path_floor,
 				now_us);
 	choice = bb_attempt_choose(&t->history, &limits, b, now_us);
@@ -119,6 +214,8 @@
 		return false;
 	t->backend = choice.backend;
 	t->path = choice.path;
+	t->host = t->entry->snapshot->config->backends[t->backend].host;
+	t->local = t->host == t->entry->snapshot->self;
 	return true;
 }
 
@@ -155,6 +252,7 @@
 	x->last_resort = t->history.last_resort;
 	x->may_wait = t->history.may_wait;
 	x->limit_milli = known_limit_milli(t);
+	x->cost_us = t->placement.cost_us;
 	x->backend = (struct bb_bytes){ b->name, strlen(b->name) };
 	x->account = (struct bb_bytes){ account, strlen(account) };
 	x->route = (struct bb_bytes){ r->name, strlen(r->name) };
@@ -245,9 +343,21 @@
 	t->receiver_incarnation = t->entry->o.incarnation;
 	t->not_after_us = t->call->deadline_us;
 	fill_execute(t, &m);
+	bb_metrics_add(BB_METRIC_PLACED_OWN_ZONE, 1);
 	bb_adjacent_execute(t->entry->o.adjacent, &to, NULL, &m.execute);
 }
 
+static void count_placed(const struct bb_attempts *t)
+{
+	bool other = is_in_other_zone(t);
+
+	bb_metrics_add(other ? BB_METRIC_PLACED_OTHER_ZONE :
+			       BB_METRIC_PLACED_OWN_ZONE,
+		       1);
+	if (other)
+		bb_metrics_add(BB_METRIC_ZONE_BYTES, request_bytes(t->call));
+}
+
 static void send_remote(struct bb_attempts *t, struct bb_session *s)
 {
 	struct bb_entry *e = t->entry;
@@ -256,8 +366,10 @@
 	t->receiver_incarnation = s->incarnation;
 	t->not_after_us = bb_session_not_after(s, t->call->deadline_us);
 	fill_execute(t, &m);
-	if (e->o.send(e->o.data, t->host, &m))
+	if (e->o.send(e->o.data, t->host, &m)) {
+		count_placed(t);
 		return;
+	}
 	s->established = false;
 	g_hash_table_remove(e->attempts, &t->id.sequence);
 	t->state = ATTEMPT_NONE;
@@ -279,6 +391,55 @@
 	return s->established && now_us - s->welcome_us < SESSION_MAX_AGE_US;
 }
 
+/* Load of the backend server of the current attempt, if it is known well enough
+ * to decide whether the attempt is sent. */
+static bool current_load(const struct bb_attempts *t, int64_t now_us,
+			 struct bb_load *load)
+{
+	const struct bb_entry *e = t->entry;
+	const char *name = e->snapshot->config->backends[t->backend].name;
+
+	if (!t->local)
+		return bb_backend_view_load(e->view, name, REPORT_DECIDES_US,
+					    now_us, load);
+	if (!e->o.adjacent || !bb_adjacent_load(e->o.adjacent, name, load))
+		return false;
+	bb_balance_report(call_balance(t), t->path, load, now_us);
+	return true;
+}
+
+/*
+ * Whether the current attempt, which is not sent yet, would be refused by what
+ * its adjacent node has reported since it was chosen. If so, it is ended.
+ */
+static bool withhold_attempt(struct bb_attempts *t)
+{
+	const struct bb_config *c = t->entry->snapshot->config;
+	struct bb_attempt_limits limits = attempt_limits(t);
+	int64_t now_us = bb_clock_now_us();
+	enum bb_reason reason;
+	struct bb_load load;
+
+	if (!limits.use_reports || t->backend == BB_NO_ROW ||
+	    !current_load(t, now_us, &load))
+		return false;
+	reason = bb_attempt_withhold(&t->history, &limits, &load,
+				     c->backends[t->backend].slots, now_us);
+	if (reason == BB_REASON_NONE)
+		return false;
+	bb_metrics_add(BB_METRIC_ATTEMPTS_WITHHELD, 1);
+	bb_log_event(BB_LOG_TRAFFIC, G_LOG_LEVEL_DEBUG, t->call->id,
+		     "attempt_withheld",
+		     "backend=%s reason=%s avoid_ms=%" G_GINT64_FORMAT
+		     " in_flight=%u queued=%u slots=%u",
+		     c->backends[t->backend].name, bb_reason_string[reason],
+		     load.avoid_for_us / BB_US_PER_MS, load.in_flight,
+		     load.queued, load.slots);
+	t->last_reason = reason;
+	release_path(t);
+	return true;
+}
+
 static gboolean on_timer(gpointer data);
 
 void bb_attempts_set_timer(struct bb_attempts *t, int64_t delay_us)
@@ -434,21 +595,24 @@
 	const char *name;
 
 	t->state = ATTEMPT_NONE;
-	if (!choose_backend(t)) {
+	do {
+		if (choose_backend(t))
+			continue;
 		bb_attempts_refuse(t, t->history.verdict,
 				   t->history.nr ? t->last_reason :
 						   BB_REASON_NO_BACKEND);
 		return;
-	}
+	} while (withhold_attempt(t));
 	name = e->snapshot->config->backends[t->backend].name;
-	bb_entry_spans_begin_attempt(&t->spans, t->call, name);
-	t->call->attempts_nr = t->history.nr;
+	if (t->spans.attempt)
+		bb_entry_spans_move_attempt(&t->spans, name);
+	else
+		bb_entry_spans_begin_attempt(&t->spans, t->call, name);
+	t->call->attempts_nr = t->history.nr - t->history.withheld;
 	g_free(t->call->backend);
 	t->call->backend = g_strdup(name);
 	t->backend_started_ms =
 		e->snapshot->config->backends[t->backend].started_ms;
-	t->host = e->snapshot->config->backends[t->backend].host;
-	t->local = t->host == e->snapshot->self;
 	t->id.incarnation = e->o.incarnation;
 	t->id.sequence = ++e->last_sequence;
 	send_attempt(t);
@@ -530,8 +694,12 @@
 	struct bb_balance *b = call_balance(t);
 
 	/* A refusal for a reason other than load may carry no load. */
-	if (b && t->path && r->load.slots)
-		bb_balance_report(b, t->path, &r->load, bb_clock_now_us());
+	if (!b || !t->path || !r->load.slots)
+		return;
+	bb_balance_report(b, t->path, &r->load, bb_clock_now_us());
+	if (!t->local && t->call->backend)
+		bb_backend_view_result(t->entry->view, t->call->backend,
+				       &r->load, t->sent_us, bb_clock_now_us());
 }
 
 /* False if the backend server has started again under its name, or has left the
@@ -568,8 +736,8 @@
 void bb_entry_result(struct bb_entry *e, const struct bb_message_result *r)
 {
 	struct bb_attempts *t = NULL;
-	struct bb_attempt_outcome outcome = { r->verdict, r->reason,
-					      r->status };
+	struct bb_attempt_outcome outcome = { r->verdict, r->reason, r->status,
+					      INT64_MAX };
 
 	if (r->id.incarnation == e->o.incarnation)
 		t = g_hash_table_lookup(e->attempts, &r->id.sequence);
@@ -596,6 +764,10 @@
 	}
 	g_hash_table_remove(e->attempts, &t->id.sequence);
 	t->state = ATTEMPT_NONE;
+	outcome.took_us = bb_clock_now_us() - t->sent_us;
+	if (r->verdict == BB_VERDICT_NOT_RUN &&
+	    (r->reason == BB_REASON_EJECTED || r->reason == BB_REASON_LEAVING))
+		bb_metrics_add(BB_METRIC_REDIRECTS, 1);
 	bb_metrics_add(t->local ? BB_METRIC_ANSWERS_LOCAL :
 				  BB_METRIC_ANSWERS_REMOTE,
 		       1);
@@ -603,11 +775,16 @@
 		bb_entry_record_path_answer(e, t->host, false,
 					    bb_clock_now_us());
 	report_load(t, r);
+	if (is_in_other_zone(t))
+		bb_metrics_add(BB_METRIC_ZONE_BYTES,
+			       r->body.size + headers_bytes(r->headers,
+							    r->headers_nr));
 	if (r->reason != BB_REASON_NONE || r->verdict != BB_VERDICT_RAN) {
 		bb_attempts_fail_current(t, r->verdict, r->reason);
 		return;
 	}
 	take_notice(t, r);
+	learn_cost(t, r);
 	bb_call_answer(t->call, r->status, r->headers, r->headers_nr, &r->body);
 	if (!decide_retry(t, &outcome)) {
 		bb_attempts_finish(t);
@@ -662,7 +839,10 @@
 		if (!g_hash_table_contains(e->calls, t) ||
 		    t->state != ATTEMPT_WAITS_FOR_SESSION || t->host != host)
 			continue;
-		send_attempt(t);
+		if (withhold_attempt(t))
+			bb_attempts_start_next(t);
+		else
+			send_attempt(t);
 	}
 	g_list_free(all);
 }
@@ -673,6 +853,7 @@
 
 	e->o = *o;
 	e->reserve = bb_reserve_new();
+	e->view = bb_backend_view_new();
 	e->probe_sent_us = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	g_queue_init(&e->token_waiters);
 	e->calls = g_hash_table_new(NULL, NULL);
@@ -721,7 +902,9 @@
 	bb_loop_remove(&e->hello_retry_timer);
 	bb_entry_free_balances(e->balances, e->balances_nr);
 	g_free(e->retry_budgets);
+	bb_cost_delete(e->cost);
 	bb_reserve_delete(e->reserve);
+	bb_backend_view_delete(e->view);
 	if (e->leaving_hosts)
 		g_hash_table_unref(e->leaving_hosts);
 	bb_paths_delete(e->paths);
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -7,7 +7,9 @@
 #define BB_NODE_ENTRY_PRIVATE_H
 
 #include "baobabward/attempt.h"
+#include "baobabward/backend_view.h"
 #include "baobabward/balance.h"
+#include "baobabward/cost.h"
 #include "baobabward/reserve.h"
 #include "baobabward/retry.h"
 #include "libnode/entry.h"
@@ -40,6 +42,8 @@
  * @backend: backend server of the current attempt, BB_NO_ROW likewise
  * @backend_started_ms: when the backend server of the current attempt started,
  *                      by the configuration
+ * @placement: expected cost and size, for the choice of the backend server; all
+ *             zero without the policy
  * @path: path of the current attempt, NULL when released
  * @receiver_incarnation: incarnation that the current attempt is addressed to
  * @not_after_us: deadline of the attempt in the clock of the receiver
@@ -66,6 +70,7 @@
 	uint32_t host;
 	uint32_t backend;
 	double backend_started_ms;
+	struct bb_placement placement;
 	struct bb_path *path;
 	uint64_t receiver_incarnation;
 	int64_t not_after_us;
@@ -89,12 +94,14 @@
  *            sent, or of the record query that it waits for
  * @balances: load balancer of each service of the snapshot
  * @balances_nr: number of @balances
+ * @view: reported state of the backend servers beside other nodes
  * @leaving_hosts: names of the hosts that the platform is removing, or NULL
  * @paths: state of the path to each host of the snapshot
  * @probe_sent_us: for each host of the snapshot, when the HELLO was sent that
  *                 probes it and is not answered yet, 0 for none
  * @next_probe_us: earliest time of the next probe
  * @retry_budgets: retry budget of each service of the snapshot
+ * @cost: model of the expected costs, NULL until the policy asks for it
  * @reserve: reserves of the client accounts
  * @last_sequence: sequence number last used by an attempt or record query
  * @token_waiters: attempts that wait for a token, oldest first
@@ -107,11 +114,13 @@
 	GHashTable *attempts;
 	struct bb_balance **balances;
 	size_t balances_nr;
+	struct bb_backend_view *view;
 	GHashTable *leaving_hosts;
 	struct bb_paths *paths;
 	GArray *probe_sent_us;
 	int64_t next_probe_us;
 	struct bb_retry_budget *retry_budgets;
+	struct bb_cost *cost;
 	struct bb_reserve *reserve;
 	uint64_t last_sequence;
 	GQueue token_waiters;
--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -57,7 +57,8 @@
 
 # fleet_config VERSION: writes the configuration document. fleet_weights and
 # fleet_states, indexed by the number of the backend server, override its weight
-# (fleet_weight, by default 1) and its state (by default "in").
+# (fleet_weight, by default 1) and its state (by default "in"). fleet_policies is
+# the content of the object "policies".
 fleet_weights=()
 fleet_states=()
 fleet_config() {
@@ -65,7 +66,8 @@
 	for ((i = 0; i < fleet_nodes; i++)); do
 		hosts+="{\"name\":\"host$i\",\"region\":\"r1\",\"zone\":\"z$((i % 3))\",
 \"address\":\"$fleet_address\",\"data_port\":$((fleet_base_port + i * 10 + 2)),
-\"control_port\":$((fleet_base_port + i * 10 + 3)),\"curve_key\":\"$(fleet_curve_public $i)\"},"
+\"control_port\":$((fleet_base_port + i * 10 + 3)),\"curve_key\":\"$(fleet_curve_public $i)\",
+\"evacuated\":$([ "${fleet_evacuated_host:-}" = "$i" ] && echo true || echo false)},"
 	done
 	for ((i = 0; i < fleet_backends; i++)); do
 		state=${fleet_states[$i]:-in}
@@ -76,7 +78,9 @@
 	done
 	cat >"$fleet_dir/config.tmp" <<JSON
 {"version":$1,"automation":${fleet_automation:-true},
+${fleet_policies:+"\"policies\":{$fleet_policies},"}
 "idempotency_window_ms":${fleet_idempotency_window_ms:-2000},
+${fleet_policies:+"\"policies\":{$fleet_policies},"}
 "hosts":[${hosts%,}],
 "services":[{"name":"orders","floor_percent":60}],
 "backends":[${backends%,}],
