Queue: an order of ranks for waiting requests

Cause: with too little capacity, deficit round robin over accounts serves urgent and less urgent requests alike; low ranks only waited for less time (wait_percent), and calls of a running request waited behind new work.

Change: where the configuration has the policy rank_order, the queue of a backend server starts calls first, then by rank; round robin holds within a rank. A rank is owed starts by a bound on its share (300 per mille of the share of all, the invariant is 250). A full queue refuses the lowest rank first, running requests are never displaced. wait_percent no longer applies then. A request whose answer would be late waits behind all that can be in time, as long as the estimate lets it start before its deadline. Without the policy nothing changes.

--- a/include/baobabward/admission.h
+++ b/include/baobabward/admission.h
@@ -60,6 +60,8 @@
  * @target_us: target latency of its answer, 0 if unknown
  * @service_us: mean service time of the backend server
  * @priority: priority of the request, 0 is the highest
+ * @ranked: the queue orders requests by rank, so that low priorities need no
+ *          shorter wait
  */
 struct bb_wait_limits {
 	int64_t left_us;
@@ -67,11 +69,13 @@
 	int64_t target_us;
 	int64_t service_us;
 	uint32_t priority;
+	bool ranked;
 };
 
 /**
  * bb_admission_wait_us() - longest wait for a slot after which the request can
- * still be answered within its target latency, reduced for low priorities.
+ * still be answered within its target latency, reduced for low priorities
+ * unless the queue orders requests by rank.
  * @r: limits
  *
  * Return: time of at least 1, or 0 if the target latency is unknown and the
@@ -79,6 +83,15 @@
  */
 int64_t bb_admission_wait_us(const struct bb_wait_limits *r);
 
+/**
+ * bb_admission_late_wait_us() - longest wait for a slot after which the request
+ * can still be answered before its deadline.
+ * @r: limits
+ *
+ * Return: time of at least 1.
+ */
+int64_t bb_admission_late_wait_us(const struct bb_wait_limits *r);
+
 #ifdef __cplusplus
 }
 #endif
--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -9,6 +9,14 @@
  * the last free slot beyond its fair share, because a running request cannot be
  * preempted.
  *
+ * With an order of ranks (bb_queue_set_ranked()) a request of a higher rank
+ * starts first, and the rules above hold within a rank. The load pattern: callers
+ * compete for too little capacity, for example one account at several times its
+ * rate beside steady ones, or a burst of the least urgent kind of request. Each
+ * rank is served at least BB_QUEUE_FLOOR_PERMILLE as often as all ranks on
+ * average. A request whose answer would come after its target latency waits
+ * behind all that can still meet theirs.
+ *
  * An entry is refused as soon as the estimate of its wait shows that it cannot
  * start in time. Not thread safe; no I/O; all times are microseconds of the
  * caller's clock. Entries are embedded in the caller's requests and not owned
@@ -28,6 +36,14 @@
 extern "C" {
 #endif
 
+/* Ranks of a queue. Rank 0 is for calls on behalf of a running request, to which
+ * the bound on the share of a rank does not apply. */
+#define BB_QUEUE_RANKS 8
+/* Least ratio of started to offered requests of a rank, in thousandths of that
+ * of all ranks together. The bound to keep is 250; the rest is for requests that
+ * are refused elsewhere. */
+#define BB_QUEUE_FLOOR_PERMILLE 300
+
 struct bb_queue;
 struct bb_queue_account;
 
@@ -41,6 +57,10 @@
  *              to booking_wait_us of the options
  * @max_wait_us: limit on the wait that replaces booking_wait_us, 0 for none;
  *               @not_after_us still applies
+ * @useful_wait_us: wait after which its answer would come after its target
+ *                  latency, 0 for no such limit; used with an order of ranks only
+ * @rank: 0 is the highest, ranks from BB_QUEUE_RANKS on are all the lowest; used
+ *        with an order of ranks only
  * @needs_new_connection: must not reuse an idle connection
  * @opens_connection: set by bb_queue_pop(): open a new connection, which is
  *                    counted already
@@ -49,6 +69,8 @@
  * @pushed_us: when it was added to the queue
  * @started_us: when it got its slot
  * @expires_us: latest start after all limits on its wait
+ * @late_us: start from which its answer would come after its target latency
+ * @estimated_us: wait that was estimated when it was added
  * @state: outside the queue, waiting or running
  * @owner: state of its client account
  *
@@ -61,12 +83,16 @@
 	int64_t not_after_us;
 	bool idempotent;
 	int64_t max_wait_us;
+	int64_t useful_wait_us;
+	uint32_t rank;
 	bool needs_new_connection;
 	bool opens_connection;
 	bool closes_idle;
 	int64_t pushed_us;
 	int64_t started_us;
 	int64_t expires_us;
+	int64_t late_us;
+	int64_t estimated_us;
 	int state;
 	struct bb_queue_account *owner;
 	struct bb_queue_entry *next;
@@ -160,6 +186,13 @@
 void bb_queue_set_limits(struct bb_queue *q, uint32_t slots,
 			 uint32_t max_connections);
 
+/**
+ * bb_queue_set_ranked() - order waiting requests by rank, or not.
+ * @q: queue
+ * @ranked: requests pushed from now on are ordered by their rank
+ */
+void bb_queue_set_ranked(struct bb_queue *q, bool ranked);
+
 /**
  * bb_queue_set_rate() - limit the rate at which requests start.
  * @q: queue
@@ -175,7 +208,8 @@
  * @now_us: current time
  *
  * If the queue is full and the account of @e is below its fair share, another
- * account's entry may be refused through the callback instead.
+ * account's entry may be refused through the callback instead. With an order of
+ * ranks, an entry of the lowest rank below that of @e is refused first.
  *
  * Return: BB_REASON_NONE, or the reason for which @e was refused; @e is then
  * not in the queue and the callback is not called for it. BB_REASON_INTERNAL if
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -95,6 +95,11 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
+	{ "queue_displaced_total", "counter",
+	  "Waiting requests refused for one of a higher rank." },
+	{ "queue_late_total", "counter",
+	  "Requests that wait although their answer will come after the target "
+	  "latency." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -139,6 +139,15 @@
 	struct bb_adjacent *a = data;
 	struct bb_job *job = queue_entry_job(e);
 
+	if (a->snapshot->config->policies.rank_order)
+		bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL, "given_up",
+			     "backend=%s rank=%u waited_ms=%" G_GINT64_FORMAT
+			     " reason=%s waiting=%u",
+			     job->backend->name, e->rank,
+			     (bb_clock_now_us() - e->pushed_us) / BB_US_PER_MS,
+			     bb_reason_string[reason],
+			     bb_queue_waiting(job->backend->queue));
+
 	job->refusal = reason;
 	g_queue_push_tail(&a->refused_jobs, job);
 }
@@ -562,30 +571,50 @@
 /*
  * A request waits only as long as its answer can still arrive within the target
  * latency of its route; a request that would wait longer is refused at once.
+ * With an order of ranks it may wait until its deadline, behind those whose
+ * answers can be in time.
  */
 static void set_max_wait(const struct bb_adjacent *a, struct bb_job *job,
 			 int64_t now_us)
 {
 	const struct bb_route *r = find_route(a, &job->request.route);
+	bool ranked = a->snapshot->config->policies.rank_order;
+	struct bb_queue_entry *e = &job->queue_entry;
 	const struct bb_account *account;
+	struct bb_wait_limits limits;
 
 	/*
 	 * A request without a client account was sent by a backend server,
 	 * whose own work would be lost by a refusal.
 	 */
-	if (!r || !job->request.account.size)
+	if (!job->request.account.size) {
+		if (ranked)
+			e->max_wait_us =
+				MAX(1, job->request.not_after_us - now_us);
+		return;
+	}
+	/* The ranks of routes that this node does not know are not known. */
+	e->rank = BB_QUEUE_RANKS - 1;
+	if (!r)
 		return;
 	account = find_account(a, &job->request.account);
 	/* The deadline is the end of the route's timeout, or earlier. */
-	job->queue_entry.max_wait_us = bb_admission_wait_us(&(
-		struct bb_wait_limits){
+	limits = (struct bb_wait_limits){
 		.left_us = job->request.not_after_us - now_us,
 		.timeout_us = r->timeout_ms * BB_US_PER_MS,
 		.target_us = r->target_latency_ms * BB_US_PER_MS,
 		.service_us = bb_queue_mean_service_us(job->backend->queue),
 		.priority = account && account->ranked ? account->priority :
 							 r->priority,
-	});
+		.ranked = ranked,
+	};
+	e->max_wait_us = bb_admission_wait_us(&limits);
+	if (!ranked)
+		return;
+	e->rank = 1 + limits.priority;
+	e->useful_wait_us = e->max_wait_us;
+	if (limits.target_us)
+		e->max_wait_us = bb_admission_late_wait_us(&limits);
 }
 
 static void fill_queue_entry(const struct bb_adjacent *a, struct bb_job *job,
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -26,6 +26,8 @@
 	uint32_t slots = (uint32_t)(b->slots * b->weight + 0.5);
 
 	bb_queue_set_limits(b->queue, MAX(1, slots), b->max_connections);
+	bb_queue_set_ranked(b->queue,
+			    b->adjacent->snapshot->config->policies.rank_order);
 }
 
 /* Requests that wait for a leaving backend server can run elsewhere. */
--- a/src/libroute/admission.c
+++ b/src/libroute/admission.c
@@ -5,7 +5,8 @@
 /*
  * Share of the longest useful wait that a request may use, by priority. Lower
  * priorities get less, so that under overload they are refused first and the
- * queue stays short enough for the requests that wait.
+ * queue stays short enough for the requests that wait. Where the queue orders
+ * requests by rank, low ranks wait behind the others and need no such limit.
  */
 static const int64_t wait_percent[] = { 100, 100, 60, 40 };
 
@@ -22,7 +23,9 @@
 
 int64_t bb_admission_wait_us(const struct bb_wait_limits *r)
 {
-	uint32_t priority = MIN(r->priority, G_N_ELEMENTS(wait_percent) - 1);
+	uint32_t priority =
+		r->ranked ? 0 :
+			    MIN(r->priority, G_N_ELEMENTS(wait_percent) - 1);
 	int64_t useful_us = r->left_us - r->service_us;
 
 	if (!r->target_us)
@@ -31,3 +34,8 @@
 		useful_us -= r->timeout_us - r->target_us;
 	return MAX(1, useful_us * wait_percent[priority] / 100);
 }
+
+int64_t bb_admission_late_wait_us(const struct bb_wait_limits *r)
+{
+	return MAX(1, r->left_us - r->service_us);
+}
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -4,6 +4,7 @@
 #include <math.h>
 
 #include "baobabward/clock.h"
+#include "baobabward/metrics.h"
 #include "baobabward/pace.h"
 
 #define DEFAULT_SLOTS 4
@@ -23,6 +24,33 @@
 /* Longest time between two checks whether waiting entries can start in time. */
 #define RECHECK_INTERVAL_US (10 * BB_US_PER_MS)
 
+/*
+ * Classes of waiting entries, in the order in which they start: one for each
+ * rank, then one for each rank with the entries whose answers will be late.
+ */
+#define CLASSES (2 * BB_QUEUE_RANKS)
+/* Time constant of the counts of offered and started requests: some service
+ * times, and short beside the length of a burst. */
+#define COUNT_DECAY_US (4 * BB_US_PER_S)
+/* Odd, so that the classes of an account have different identifiers. */
+#define CLASS_HASH_STEP UINT64_C(0x9e3779b97f4a7c15)
+/* Most starts that a rank can be owed: it must not displace the others for long
+ * after a time in which none of its requests waited. */
+#define OWED_MAX 3.0
+/* Weight of a new measurement in the ratio of real to estimated waits. */
+#define SLOWNESS_GAIN 0.125
+/* Largest ratio of real to estimated waits. */
+#define SLOWNESS_MAX 8.0
+/* Least share of the starts on which the wait of a class is estimated. */
+#define LEAST_SHARE 0.02
+/* A new entry waits if its estimated wait by this factor is within its limit: in
+ * a lasting overload the queue is always as long as the limit allows, and without
+ * a margin half of the entries at its end would be refused late. */
+#define ADMIT_FACTOR 1.3
+/* A waiting entry is given up when its estimated wait exceeds the time left by
+ * this factor, since the counts that the estimate uses vary by chance. */
+#define GIVE_UP_FACTOR 1.5
+
 enum entry_state { ENTRY_NONE, ENTRY_WAITING, ENTRY_RUNNING };
 
 struct entry_list {
@@ -32,22 +60,30 @@
 };
 
 /**
- * struct bb_queue_account - state of one client account at this queue.
+ * struct bb_queue_account - state of one client account at this queue. With an
+ * order of ranks, an account has one for each class of its requests.
+ * @id: account and class
+ * @class: class of its waiting entries
  * @service_us: moving average of its service time, 0 until one is measured. A
  *              request is charged with it at its start. Charging the exact time
  *              afterwards would put an account within its share into debt after
  *              one long request: its p99 was 186 ms instead of the figure in
  *              docs/measurements/fairness.md.
  * @deficit_us: service time that it may start in its turn
+ * @slowness: ratio of real to estimated waits, at least 1. The estimate knows
+ *            only the accounts that wait now; others come meanwhile. Used with
+ *            an order of ranks.
  * @quantum_given: the quantum of this turn was added
  * @last_active_us: when a request of it was last added or finished
  * @ring: link in the ring of accounts with waiting entries
  */
 struct bb_queue_account {
 	uint64_t id;
+	uint32_t class;
 	double weight;
 	double service_us;
 	double deficit_us;
+	double slowness;
 	bool quantum_given;
 	int64_t last_active_us;
 	struct entry_list waiting;
@@ -55,12 +91,39 @@
 	GList ring;
 };
 
+/**
+ * struct queue_class - entries of one class that wait.
+ * @ring: accounts with waiting entries, in the order of their turns
+ * @ring_weight: sum of the weights of the accounts in @ring
+ * @waiting: entries that wait
+ */
+struct queue_class {
+	GQueue ring;
+	double ring_weight;
+	uint32_t waiting;
+};
+
+/**
+ * struct rank_count - requests of one rank, with exponential decay.
+ * @offered: requests that were pushed, also those that were refused
+ * @started: requests that got a slot
+ * @owed: starts that the bound grants to the rank and that it has not had; does
+ *        not decay
+ */
+struct rank_count {
+	double offered;
+	double started;
+	double owed;
+};
+
 /**
  * struct bb_queue - slots and fair queue of one backend server.
  * @o: options, with the defaults filled in
  * @accounts: struct bb_queue_account by identifier
- * @ring: accounts with waiting entries, in the order of their turns
- * @ring_weight: sum of the weights of the accounts in @ring
+ * @classes: entries that wait, by class
+ * @ranked: new entries are ordered by rank
+ * @counts: requests of each rank, with an order of ranks
+ * @counted_us: time up to which @counts have decayed
  * @service_us: moving average of the service time of all accounts
  * @waiting: entries that wait
  * @running: entries that occupy a slot
@@ -74,8 +137,10 @@
 struct bb_queue {
 	struct bb_queue_options o;
 	GHashTable *accounts;
-	GQueue ring;
-	double ring_weight;
+	struct queue_class classes[CLASSES];
+	bool ranked;
+	struct rank_count counts[BB_QUEUE_RANKS];
+	int64_t counted_us;
 	double service_us;
 	uint32_t waiting;
 	uint32_t running;
@@ -138,7 +203,8 @@
 		q->o.active_period_us = DEFAULT_ACTIVE_PERIOD_US;
 	q->accounts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    g_free);
-	g_queue_init(&q->ring);
+	for (size_t i = 0; i < CLASSES; i++)
+		g_queue_init(&q->classes[i].ring);
 	q->service_us = (double)q->o.initial_service_us;
 	q->next_connect_us = INT64_MIN;
 	q->next_check_us = INT64_MAX;
@@ -160,6 +226,11 @@
 	q->o.max_connections = max_connections;
 }
 
+void bb_queue_set_ranked(struct bb_queue *q, bool ranked)
+{
+	q->ranked = ranked;
+}
+
 static bool account_is_idle(const struct bb_queue *q,
 			    const struct bb_queue_account *a, int64_t now_us)
 {
@@ -190,24 +261,27 @@
 	}
 }
 
+/* State of an account for one class. That of class 0 is found by the account
+ * alone. */
 static struct bb_queue_account *
 find_or_add_account(struct bb_queue *q, const struct bb_queue_entry *e,
-		    int64_t now_us)
+		    uint32_t class, int64_t now_us)
 {
-	struct bb_queue_account *a;
+	uint64_t id = e->account + class * CLASS_HASH_STEP;
+	struct bb_queue_account *a = g_hash_table_lookup(q->accounts, &id);
 	double weight = e->weight > 0 ? e->weight : 1;
 
-	remove_idle_accounts(q, now_us);
-	a = g_hash_table_lookup(q->accounts, &e->account);
 	if (!a) {
 		a = g_new0(struct bb_queue_account, 1);
-		a->id = e->account;
+		a->id = id;
+		a->class = class;
+		a->slowness = 1;
 		a->ring.data = a;
 		g_hash_table_insert(q->accounts, &a->id, a);
 	}
 	q->active_weight += weight - a->weight;
 	if (a->waiting.n)
-		q->ring_weight += weight - a->weight;
+		q->classes[class].ring_weight += weight - a->weight;
 	a->weight = weight;
 	a->last_active_us = now_us;
 	return a;
@@ -229,23 +303,135 @@
 				by_slots;
 }
 
+static bool is_late_class(uint32_t class)
+{
+	return class >= BB_QUEUE_RANKS;
+}
+
+static uint32_t class_rank(uint32_t class)
+{
+	return class % BB_QUEUE_RANKS;
+}
+
+static void decay_counts(struct bb_queue *q, int64_t now_us)
+{
+	double factor;
+
+	if (now_us <= q->counted_us)
+		return;
+	factor = exp(-(double)(now_us - q->counted_us) / COUNT_DECAY_US);
+	q->counted_us = now_us;
+	for (size_t i = 0; i < BB_QUEUE_RANKS; i++) {
+		q->counts[i].offered *= factor;
+		q->counts[i].started *= factor;
+	}
+}
+
+/* Requests of all ranks but that of calls, which follow from running ones. */
+static struct rank_count sum_counts(const struct bb_queue *q)
+{
+	struct rank_count sum = { 0 };
+
+	for (size_t i = 1; i < BB_QUEUE_RANKS; i++) {
+		sum.offered += q->counts[i].offered;
+		sum.started += q->counts[i].started;
+	}
+	return sum;
+}
+
+/* Whether the bound grants a rank a start that it has not had, so that one of its
+ * waiting entries goes before all but calls. */
+static bool is_owed(const struct bb_queue *q, uint32_t rank)
+{
+	return q->ranked && q->counts[rank].owed >= 1;
+}
+
+static void count_offered(struct bb_queue *q, uint32_t rank)
+{
+	struct rank_count all, *c = &q->counts[rank];
+
+	c->offered += 1;
+	if (!rank)
+		return;
+	all = sum_counts(q);
+	c->owed += all.started / all.offered * BB_QUEUE_FLOOR_PERMILLE / 1000;
+	c->owed = fmin(c->owed, OWED_MAX);
+}
+
+static void count_started(struct bb_queue *q, uint32_t rank)
+{
+	q->counts[rank].started += 1;
+	q->counts[rank].owed = fmax(q->counts[rank].owed - 1, 0);
+}
+
+/*
+ * Share of the starts that is left for a class by the requests that go before it
+ * and are still to come, at the rate at which they came so far. Those that still
+ * wait count as waiting, not as a sign of more to come.
+ */
+static double share_left(const struct bb_queue *q, uint32_t class)
+{
+	uint32_t before = is_late_class(class) ? BB_QUEUE_RANKS : class;
+	double start_us = start_interval_us(q, q->service_us);
+	double left = 1;
+
+	for (uint32_t i = 0; i < before; i++) {
+		double gone = q->counts[i].offered - q->classes[i].waiting -
+			      q->classes[i + BB_QUEUE_RANKS].waiting;
+
+		left -= fmax(gone, 0) * start_us / COUNT_DECAY_US;
+	}
+	return fmax(left, LEAST_SHARE);
+}
+
+/* Share of the starts that the bound grants to the rank of a class. */
+static double share_bound(const struct bb_queue *q, uint32_t class)
+{
+	if (!q->ranked || is_late_class(class))
+		return 0;
+	return q->counts[class].offered / fmax(sum_counts(q).offered, 1) *
+	       BB_QUEUE_FLOOR_PERMILLE / 1000;
+}
+
+/* Entries that start before those of a class. */
+static uint32_t waiting_before(const struct bb_queue *q, uint32_t class)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < class; i++)
+		n += q->classes[i].waiting;
+	return n;
+}
+
 /* Estimates the time until an entry starts that has @ahead entries of its own
  * account before it: the account gets its share of the starts among the
- * accounts with waiting entries. The time for the whole queue is an upper
+ * accounts with waiting entries. The time for the whole class is an upper
  * bound. */
 static double estimate_wait_us(const struct bb_queue *q,
 			       const struct bb_queue_account *a, uint32_t ahead,
 			       int64_t now_us)
 {
-	double weights = q->ring_weight + (a->waiting.n ? 0 : a->weight);
+	const struct queue_class *c = &q->classes[a->class];
+	double weights = c->ring_weight + (a->waiting.n ? 0 : a->weight);
 	double own = start_interval_us(q, account_service_us(q, a));
+	double any = start_interval_us(q, q->service_us);
 	double share = a->weight / fmax(weights, a->weight);
 	double fair = ahead * own / share;
 	double all = ahead * own +
-		     (double)(q->waiting - MIN(q->waiting, a->waiting.n)) *
-			     start_interval_us(q, q->service_us);
-
-	return fmin(fair, all) + (double)bb_pace_wait_us(&q->pace, 0, now_us);
+		     (double)(c->waiting - MIN(c->waiting, a->waiting.n)) * any;
+	double pace = (double)bb_pace_wait_us(&q->pace, 0, now_us);
+	double in_order, by_bound;
+
+	if (!a->class)
+		return fmin(fair, all) + pace;
+	/* One more start, since all slots are taken now. */
+	in_order = (fmin(fair, all) + any * (1 + waiting_before(q, a->class))) /
+		   share_left(q, a->class);
+	by_bound = (fmin(fair, all) + any) /
+		   fmax(share_bound(q, a->class), LEAST_SHARE);
+	if (!ahead && is_owed(q, a->class))
+		by_bound = any * (1 + c->ring.length);
+	return fmin(in_order, by_bound) + pace;
 }
 
 /* The same for an entry that is added now: the other accounts have their turns
@@ -254,27 +440,57 @@
 				   const struct bb_queue_account *a,
 				   int64_t now_us)
 {
-	double weights = q->ring_weight + (a->waiting.n ? 0 : a->weight);
+	const struct queue_class *c = &q->classes[a->class];
+	double weights = c->ring_weight + (a->waiting.n ? 0 : a->weight);
 	double rounds = fmax(weights, a->weight) / a->weight - 1;
 	double turn = rounds * start_interval_us(q, account_service_us(q, a));
 
 	return fmax(estimate_wait_us(q, a, a->waiting.n, now_us),
 		    fmin(turn,
-			 q->waiting * start_interval_us(q, q->service_us)));
+			 c->waiting * start_interval_us(q, q->service_us)));
+}
+
+static void learn_slowness(struct bb_queue_account *a,
+			   const struct bb_queue_entry *e, int64_t now_us)
+{
+	double ratio = (double)(now_us - e->pushed_us) /
+		       (double)MAX(e->estimated_us, 1);
+
+	a->slowness +=
+		SLOWNESS_GAIN * (fmin(ratio, SLOWNESS_MAX) - a->slowness);
+	a->slowness = fmax(a->slowness, 1);
+}
+
+static void link_waiting(struct bb_queue *q, struct bb_queue_entry *e,
+			 struct bb_queue_account *a)
+{
+	struct queue_class *c = &q->classes[a->class];
+
+	if (!a->waiting.n) {
+		g_queue_push_tail_link(&c->ring, &a->ring);
+		c->ring_weight += a->weight;
+	}
+	e->owner = a;
+	e->state = ENTRY_WAITING;
+	list_add(&a->waiting, e);
+	c->waiting++;
+	q->waiting++;
 }
 
 static void unlink_waiting(struct bb_queue *q, struct bb_queue_entry *e)
 {
 	struct bb_queue_account *a = e->owner;
+	struct queue_class *c = &q->classes[a->class];
 
 	list_remove(&a->waiting, e);
+	c->waiting--;
 	q->waiting--;
 	e->state = ENTRY_NONE;
 	if (a->waiting.n)
 		return;
-	g_queue_unlink(&q->ring, &a->ring);
-	q->ring_weight =
-		g_queue_is_empty(&q->ring) ? 0 : q->ring_weight - a->weight;
+	g_queue_unlink(&c->ring, &a->ring);
+	c->ring_weight =
+		g_queue_is_empty(&c->ring) ? 0 : c->ring_weight - a->weight;
 	a->quantum_given = false;
 	/* An unused deficit is dropped when no entry of the account waits. */
 	a->deficit_us = 0;
@@ -296,27 +512,54 @@
 						 BB_REASON_DEADLINE;
 }
 
-/* Makes room in a full queue for an entry of @requester: refuses the newest
- * entry of the account that exceeds its fair share by most. Returns false if no
- * account has more waiting entries per weight than @requester would have. */
-static bool make_room(struct bb_queue *q,
-		      const struct bb_queue_account *requester)
+/* Account of a class with the most waiting entries for its weight, if these are
+ * more than @most. */
+static struct bb_queue_account *find_longest(const struct bb_queue *q,
+					     uint32_t class, double most)
 {
-	struct bb_queue_account *worst = NULL;
-	double most = (requester->waiting.n + 1) / requester->weight;
+	struct bb_queue_account *longest = NULL;
 
-	for (GList *l = q->ring.head; l; l = l->next) {
+	for (GList *l = q->classes[class].ring.head; l; l = l->next) {
 		struct bb_queue_account *a = l->data;
 		double x = a->waiting.n / a->weight;
 
-		if (a != requester && x > most) {
+		if (x > most) {
 			most = x;
-			worst = a;
+			longest = a;
 		}
 	}
-	if (!worst)
+	return longest;
+}
+
+/* The lowest class below @class with a waiting entry, else @class. A rank that
+ * is owed a start keeps its last entry. */
+static uint32_t find_class_to_refuse(const struct bb_queue *q, uint32_t class)
+{
+	for (uint32_t c = CLASSES - 1; c > class; c--)
+		if (q->classes[c].waiting >
+		    (!is_late_class(c) && is_owed(q, c)))
+			return c;
+	return class;
+}
+
+/* Makes room in a full queue for an entry of @requester: refuses the newest
+ * entry of the lowest rank below that of @requester, or else of the account that
+ * exceeds its fair share by most. Returns false if there is no lower rank and no
+ * account has more waiting entries per weight than @requester would have. */
+static bool make_room(struct bb_queue *q,
+		      const struct bb_queue_account *requester)
+{
+	uint32_t class = find_class_to_refuse(q, requester->class);
+	bool lower = class != requester->class;
+	double most = (requester->waiting.n + 1) / requester->weight;
+	struct bb_queue_account *longest =
+		find_longest(q, class, lower ? 0 : most);
+
+	if (!longest)
 		return false;
-	refuse(q, worst->waiting.tail, BB_REASON_QUEUE_FULL);
+	if (lower)
+		bb_metrics_add(BB_METRIC_QUEUE_DISPLACED, 1);
+	refuse(q, longest->waiting.tail, BB_REASON_QUEUE_FULL);
 	return true;
 }
 
@@ -353,20 +596,10 @@
 	       !bb_pace_wait_us(&q->pace, 0, now_us);
 }
 
-enum bb_reason bb_queue_push(struct bb_queue *q, struct bb_queue_entry *e,
-			     int64_t now_us)
+/* Sets the limits on the wait of a new entry. */
+static void set_expiry(const struct bb_queue *q, struct bb_queue_entry *e,
+		       bool has_slot, int64_t now_us)
 {
-	bool has_slot = has_slot_for_new(q, now_us);
-	struct bb_queue_account *a;
-	double wait = 0;
-
-	if (e->state != ENTRY_NONE)
-		return BB_REASON_INTERNAL;
-	if (e->not_after_us <= now_us)
-		return BB_REASON_DEADLINE;
-	a = find_or_add_account(q, e, now_us);
-	if (a->waiting.n >= q->o.account_max_waiting)
-		return BB_REASON_QUEUE_FULL;
 	e->expires_us = e->not_after_us;
 	if (e->max_wait_us)
 		e->expires_us = MIN(e->expires_us, now_us + e->max_wait_us);
@@ -377,24 +610,90 @@
 		e->expires_us =
 			MAX(e->expires_us,
 			    MIN(e->not_after_us, now_us + FREE_SLOT_WAIT_US));
-	else
-		wait = estimate_new_wait_us(q, a, now_us);
-	if (wait > (double)(e->expires_us - now_us))
+	e->late_us = e->expires_us;
+	if (q->ranked && e->useful_wait_us && !has_slot)
+		e->late_us = MIN(e->late_us, now_us + e->useful_wait_us);
+}
+
+static uint32_t first_class(const struct bb_queue *q,
+			    const struct bb_queue_entry *e)
+{
+	return q->ranked ? MIN(e->rank, BB_QUEUE_RANKS - 1) : 0;
+}
+
+/* Whether a new entry can start in time in the class of an account. Sets
+ * @estimated_us of the entry. */
+static bool fits(const struct bb_queue *q, const struct bb_queue_account *a,
+		 struct bb_queue_entry *e, int64_t end_us, int64_t now_us)
+{
+	double wait = estimate_new_wait_us(q, a, now_us);
+	bool owed = !is_late_class(a->class) && is_owed(q, a->class);
+
+	e->estimated_us = (int64_t)wait;
+	if (!owed)
+		wait *= a->class ? a->slowness * ADMIT_FACTOR : 1;
+	return wait <= (double)(end_us - now_us);
+}
+
+/*
+ * Account, in the class of its rank or that of late answers, in which a new
+ * entry can start in time; NULL if there is none.
+ */
+static struct bb_queue_account *choose_class(struct bb_queue *q,
+					     struct bb_queue_entry *e,
+					     bool has_slot, int64_t now_us)
+{
+	uint32_t class = first_class(q, e);
+	struct bb_queue_account *a = find_or_add_account(q, e, class, now_us);
+
+	if (fits(q, a, e, e->late_us, now_us) || has_slot)
+		return a;
+	if (e->late_us >= e->expires_us)
+		return NULL;
+	a = find_or_add_account(q, e, class + BB_QUEUE_RANKS, now_us);
+	return fits(q, a, e, e->expires_us, now_us) ? a : NULL;
+}
+
+/* Calls have no account of their own, so the limit on the entries of one does
+ * not apply to them. */
+static bool has_too_many_waiting(const struct bb_queue *q,
+				 const struct bb_queue_account *a)
+{
+	return a->waiting.n >= q->o.account_max_waiting &&
+	       (!q->ranked || a->class);
+}
+
+enum bb_reason bb_queue_push(struct bb_queue *q, struct bb_queue_entry *e,
+			     int64_t now_us)
+{
+	bool has_slot = has_slot_for_new(q, now_us);
+	struct bb_queue_account *a;
+
+	if (e->state != ENTRY_NONE)
+		return BB_REASON_INTERNAL;
+	if (e->not_after_us <= now_us)
+		return BB_REASON_DEADLINE;
+	remove_idle_accounts(q, now_us);
+	if (q->ranked) {
+		decay_counts(q, now_us);
+		count_offered(q, first_class(q, e));
+	}
+	set_expiry(q, e, has_slot, now_us);
+	a = find_or_add_account(q, e, first_class(q, e), now_us);
+	if (has_too_many_waiting(q, a))
+		return BB_REASON_QUEUE_FULL;
+	a = choose_class(q, e, has_slot, now_us);
+	if (!a)
 		return expiry_reason(e);
-	if (q->waiting >= q->o.max_waiting && !make_room(q, a))
+	if (has_too_many_waiting(q, a) ||
+	    (q->waiting >= q->o.max_waiting && !make_room(q, a)))
 		return BB_REASON_QUEUE_FULL;
-	if (!a->waiting.n) {
-		g_queue_push_tail_link(&q->ring, &a->ring);
-		q->ring_weight += a->weight;
-	}
+	if (is_late_class(a->class))
+		bb_metrics_add(BB_METRIC_QUEUE_LATE, 1);
 	e->pushed_us = now_us;
-	e->owner = a;
-	e->state = ENTRY_WAITING;
-	list_add(&a->waiting, e);
-	q->waiting++;
-	q->next_check_us =
-		MIN(q->next_check_us,
-		    MIN(e->expires_us, now_us + RECHECK_INTERVAL_US));
+	link_waiting(q, e, a);
+	q->next_check_us = MIN(q->next_check_us,
+			       MIN(e->late_us, now_us + RECHECK_INTERVAL_US));
 	return BB_REASON_NONE;
 }
 
@@ -415,7 +714,8 @@
 {
 	double share;
 
-	if (q->o.slots - q->running > 1 || !a->running.n)
+	/* The order of ranks decides which request gets the last slot. */
+	if (q->ranked || q->o.slots - q->running > 1 || !a->running.n)
 		return true;
 	if (!account_is_slow(q, a, now_us))
 		return true;
@@ -459,7 +759,9 @@
 static double quantum_us(const struct bb_queue *q,
 			 const struct bb_queue_account *a)
 {
-	return q->service_us * a->weight / fmax(q->ring_weight, a->weight);
+	double weights = q->classes[a->class].ring_weight;
+
+	return q->service_us * a->weight / fmax(weights, a->weight);
 }
 
 /* Whether the deficit of an account covers a request. Adds the quantum once per
@@ -478,19 +780,21 @@
 	return a->deficit_us >= cost;
 }
 
-/* Chooses the account whose request starts next. An account keeps its turn
- * while its deficit covers a request. If no deficit does after a full round,
+/* Chooses the account of a class whose request starts next. An account keeps its
+ * turn while its deficit covers a request. If no deficit does after a full round,
  * the quanta of as many rounds as the account with the fewest missing rounds
  * needs are added at once, so the cost is two passes over the ring. */
-static struct bb_queue_account *next_account(struct bb_queue *q, uint32_t idle,
-					     int64_t now_us, int64_t *wake_us)
+static struct bb_queue_account *
+next_account_of_class(struct bb_queue *q, uint32_t class, uint32_t idle,
+		      int64_t now_us, int64_t *wake_us)
 {
+	GQueue *ring = &q->classes[class].ring;
 	struct bb_queue_account *best = NULL;
 	double fewest_rounds = INFINITY;
 	double missing_rounds;
 
-	for (guint n = q->ring.length; n; n--) {
-		struct bb_queue_account *a = q->ring.head->data;
+	for (guint n = ring->length; n; n--) {
+		struct bb_queue_account *a = ring->head->data;
 
 		if (can_start(q, a, idle, now_us, wake_us)) {
 			if (deficit_covers_request(q, a, &missing_rounds))
@@ -501,10 +805,9 @@
 			}
 		}
 		a->quantum_given = false;
-		g_queue_push_tail_link(&q->ring,
-				       g_queue_pop_head_link(&q->ring));
+		g_queue_push_tail_link(ring, g_queue_pop_head_link(ring));
 	}
-	for (GList *l = q->ring.head; l && best; l = l->next) {
+	for (GList *l = ring->head; l && best; l = l->next) {
 		struct bb_queue_account *a = l->data;
 
 		if (can_start(q, a, idle, now_us, wake_us))
@@ -513,6 +816,31 @@
 	return best;
 }
 
+/* The lowest rank that is owed a start and has an entry that waits, else 0. Calls
+ * that wait go first. */
+static uint32_t find_owed_class(const struct bb_queue *q)
+{
+	if (!q->ranked || q->classes[0].waiting)
+		return 0;
+	for (uint32_t rank = BB_QUEUE_RANKS - 1; rank; rank--)
+		if (q->classes[rank].waiting && is_owed(q, rank))
+			return rank;
+	return 0;
+}
+
+static struct bb_queue_account *next_account(struct bb_queue *q, uint32_t idle,
+					     int64_t now_us, int64_t *wake_us)
+{
+	uint32_t owed = find_owed_class(q);
+	struct bb_queue_account *a = NULL;
+
+	if (owed)
+		a = next_account_of_class(q, owed, idle, now_us, wake_us);
+	for (uint32_t class = 0; class < CLASSES && !a; class ++)
+		a = next_account_of_class(q, class, idle, now_us, wake_us);
+	return a;
+}
+
 static void assign_connection(struct bb_queue *q, struct bb_queue_entry *e,
 			      uint32_t idle, int64_t now_us)
 {
@@ -535,6 +863,8 @@
 	int64_t pace_us;
 
 	*wake_us = INT64_MAX;
+	if (q->ranked)
+		decay_counts(q, now_us);
 	for (;;) {
 		if (q->running >= q->o.slots || !q->waiting)
 			return NULL;
@@ -554,6 +884,10 @@
 	/* Rounding errors may leave the deficit a little below the charge. */
 	a->deficit_us = fmax(a->deficit_us - account_service_us(q, a), 0);
 	unlink_waiting(q, e);
+	if (a->class)
+		learn_slowness(a, e, now_us);
+	if (q->ranked)
+		count_started(q, class_rank(a->class));
 	assign_connection(q, e, idle, now_us);
 	bb_pace_spend(&q->pace, now_us);
 	e->started_us = now_us;
@@ -587,25 +921,54 @@
 	q->service_us = moving_average(q->service_us, elapsed_us);
 }
 
-/* Refuses the entries of one account that cannot start in time; returns the
- * earliest expiry of the remaining ones. */
+/* Moves an entry whose answer will be late behind those that can be in time.
+ * Returns false if it cannot start before its deadline there. */
+static bool move_to_late(struct bb_queue *q, struct bb_queue_entry *e,
+			 int64_t now_us)
+{
+	uint32_t class = e->owner->class + BB_QUEUE_RANKS;
+	struct bb_queue_account *a;
+
+	if (is_late_class(e->owner->class) || e->late_us >= e->expires_us)
+		return false;
+	a = find_or_add_account(q, e, class, now_us);
+	if (a->waiting.n >= q->o.account_max_waiting ||
+	    estimate_new_wait_us(q, a, now_us) >
+		    (double)(e->expires_us - now_us))
+		return false;
+	unlink_waiting(q, e);
+	link_waiting(q, e, a);
+	bb_metrics_add(BB_METRIC_QUEUE_LATE, 1);
+	return true;
+}
+
+/* Refuses the entries of one account that cannot start in time, or moves them to
+ * the late ones; returns the earliest expiry of the remaining ones. */
 static int64_t expire_account(struct bb_queue *q, struct bb_queue_account *a,
 			      int64_t now_us)
 {
+	double factor = a->class ? GIVE_UP_FACTOR : 1;
 	struct bb_queue_entry *e = a->waiting.head;
 	int64_t next_us = INT64_MAX;
 	uint32_t ahead = 0;
 
 	while (e) {
 		struct bb_queue_entry *next = e->next;
-		double left = (double)(e->expires_us - now_us);
+		int64_t end_us = is_late_class(a->class) ? e->expires_us :
+							   e->late_us;
+		double left = (double)(end_us - now_us);
 
-		if (left <= 0 || estimate_wait_us(q, a, ahead, now_us) > left) {
-			refuse(q, e, expiry_reason(e));
-		} else {
-			next_us = MIN(next_us, e->expires_us);
+		if (left > 0 &&
+		    estimate_wait_us(q, a, ahead, now_us) <= left * factor) {
+			next_us = MIN(next_us, end_us);
 			ahead++;
+			e = next;
+			continue;
 		}
+		if (a->class)
+			learn_slowness(a, e, now_us);
+		if (!move_to_late(q, e, now_us))
+			refuse(q, e, expiry_reason(e));
 		e = next;
 	}
 	return next_us;
@@ -614,15 +977,20 @@
 int64_t bb_queue_expire(struct bb_queue *q, int64_t now_us)
 {
 	int64_t next_us = INT64_MAX;
-	GList *l = q->ring.head;
 
 	if (now_us < q->next_check_us)
 		return q->next_check_us;
-	while (l) {
-		struct bb_queue_account *a = l->data;
+	if (q->ranked)
+		decay_counts(q, now_us);
+	for (uint32_t class = 0; class < CLASSES; class ++) {
+		GList *l = q->classes[class].ring.head;
+
+		while (l) {
+			struct bb_queue_account *a = l->data;
 
-		l = l->next;
-		next_us = MIN(next_us, expire_account(q, a, now_us));
+			l = l->next;
+			next_us = MIN(next_us, expire_account(q, a, now_us));
+		}
 	}
 	q->next_check_us = q->waiting ?
 				   MIN(next_us, now_us + RECHECK_INTERVAL_US) :
@@ -642,11 +1010,15 @@
 {
 	size_t n = 0;
 
-	while (q->ring.head) {
-		struct bb_queue_account *a = q->ring.head->data;
+	for (uint32_t class = 0; class < CLASSES; class ++) {
+		GQueue *ring = &q->classes[class].ring;
 
-		refuse(q, a->waiting.head, reason);
-		n++;
+		while (ring->head) {
+			struct bb_queue_account *a = ring->head->data;
+
+			refuse(q, a->waiting.head, reason);
+			n++;
+		}
 	}
 	q->next_check_us = INT64_MAX;
 	return n;
