Limit, Retry-After: stalled holders, returns that spread

Cause: a holder on a host with a tenth of a core stalls for longer than the 150 ms after which a draw timed out. Retry-After was 1 s for every refusal, so that callers refused together came back together.

Change, where the configuration has rank_order: the drawer uses an answer up to 1 s after the draw, unless it drew from that holder again since; asks a silent holder again after 300 ms if nobody else can be asked; and lets up to 4 requests wait for an answer that is due instead of refusing them. Requests of an account that a holder called empty do not spend the reserve then, so that its quota holds.

--- a/include/baobabward/limit.h
+++ b/include/baobabward/limit.h
@@ -164,6 +164,20 @@
  */
 void bb_drawer_cancel_wait(struct bb_drawer *d, const char *account);
 
+/**
+ * bb_drawer_may_use_reserve() - whether a request that got no token in time may
+ * spend the reserve of this node.
+ * @d: the drawer
+ * @account: name of the client account
+ * @now_us: time
+ *
+ * With the policy rank_order, requests also wait when one holder has no tokens
+ * left but another one does not answer. They must not spend the reserve, which
+ * would come on top of the rate.
+ */
+bool bb_drawer_may_use_reserve(struct bb_drawer *d, const char *account,
+			       int64_t now_us);
+
 /**
  * bb_drawer_tick() - send the draws, returns and reports that are due.
  * @d: the drawer
--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -95,6 +95,8 @@
 	  "Reads of the registry through a peer that failed or were refused." },
 	{ "registry_answers_total", "counter",
 	  "Answers to peers about changes of the registry." },
+	{ "draws_late_total", "counter",
+	  "Answers to draws that came late and were still used." },
 	{ "queue_displaced_total", "counter",
 	  "Waiting requests refused for one of a higher rank." },
 	{ "queue_late_total", "counter",
--- a/src/liblimit/drawer.c
+++ b/src/liblimit/drawer.c
@@ -15,6 +15,12 @@
 #define ACCOUNTS_MAX 8192
 /* Time after which a draw without an answer counts as lost. */
 #define DRAW_TIMEOUT_US (150 * BB_US_PER_MS)
+/*
+ * Time after which no answer to a draw is expected any more. With the policy
+ * rank_order an answer after DRAW_TIMEOUT_US is still used: a node with a tenth
+ * of a core may stall for more than that, and its tokens would be lost.
+ */
+#define LATE_ANSWER_US (1 * BB_US_PER_S)
 /* Time for which a host that did not answer a draw is not asked again. */
 #define SILENT_HOST_BACKOFF_US (1 * BB_US_PER_S)
 /* Longest time for which a holder's retry hint is followed: tokens that are
@@ -89,8 +95,11 @@
 	d->swept_us = INT64_MIN;
 	d->silent = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
+	d->late_hosts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, g_free);
 	d->batches = g_ptr_array_new_with_free_func(batch_delete);
 	g_queue_init(&d->pending_draws);
+	g_queue_init(&d->late_draws);
 	for (uint32_t i = 0; i < SHARDS; i++) {
 		pthread_mutex_init(&d->shards[i].lock, NULL);
 		d->shards[i].accounts = g_hash_table_new_full(
@@ -110,8 +119,10 @@
 		g_ptr_array_free(d->shards[i].due, TRUE);
 	}
 	g_queue_clear_full(&d->pending_draws, pending_draw_delete);
+	g_queue_clear_full(&d->late_draws, pending_draw_delete);
 	g_ptr_array_free(d->batches, TRUE);
 	g_hash_table_destroy(d->silent);
+	g_hash_table_destroy(d->late_hosts);
 	bb_lease_map_unref(d->map);
 	g_aligned_free(d);
 }
@@ -119,8 +130,8 @@
 void bb_drawer_set_config(struct bb_drawer *d, const struct bb_config *c,
 			  struct bb_lease_map *m, int64_t now_us)
 {
-	(void)c;
 	(void)now_us;
+	ck_pr_store_uint(&d->ranked, c->policies.rank_order);
 	bb_lease_map_ref(m);
 	bb_lease_map_unref(d->map);
 	d->map = m;
@@ -172,13 +183,21 @@
 static struct pool *find_pool_of_draw(struct local_account *a, uint64_t nonce)
 {
 	for (uint32_t i = 0; i < CANDIDATES_MAX; i++)
-		if (a->pools[i].draw_nonce == nonce)
+		if (a->pools[i].draw_nonce == nonce ||
+		    a->pools[i].late_nonce == nonce)
 			return &a->pools[i];
 	return NULL;
 }
 
-/* Ends a draw without an answer, and asks its host no more for a while. */
-static void time_out_draw(struct bb_drawer *d, struct pending_draw *pending,
+static void set_time(GHashTable *times, uint64_t host, int64_t us)
+{
+	g_hash_table_replace(times, g_memdup2(&host, sizeof(host)),
+			     g_memdup2(&us, sizeof(us)));
+}
+
+/* Ends a draw without an answer, and asks its host no more for a while. Returns
+ * whether its answer would still be used. */
+static bool time_out_draw(struct bb_drawer *d, struct pending_draw *pending,
 			  int64_t now_us)
 {
 	bool any = false;
@@ -193,6 +212,9 @@
 		p = find_pool_of_draw(a, pending->nonce);
 		if (p) {
 			p->draw_nonce = 0;
+			p->late_nonce = ck_pr_load_uint(&d->ranked) ?
+						pending->nonce :
+						0;
 			if (a->waiting)
 				bb_local_account_queue(shard, a);
 			any = true;
@@ -200,11 +222,9 @@
 		unlock_shard(shard);
 	}
 	if (any)
-		g_hash_table_replace(
-			d->silent,
-			g_memdup2(&pending->host, sizeof(pending->host)),
-			g_memdup2(&(int64_t){ now_us + SILENT_HOST_BACKOFF_US },
-				  sizeof(int64_t)));
+		set_time(d->silent, pending->host,
+			 now_us + SILENT_HOST_BACKOFF_US);
+	return any && ck_pr_load_uint(&d->ranked);
 }
 
 static void time_out_draws(struct bb_drawer *d, int64_t now_us)
@@ -214,9 +234,14 @@
 	while ((pending = g_queue_peek_head(&d->pending_draws)) &&
 	       now_us - pending->sent_us > DRAW_TIMEOUT_US) {
 		g_queue_pop_head(&d->pending_draws);
-		time_out_draw(d, pending, now_us);
-		pending_draw_delete(pending);
+		if (time_out_draw(d, pending, now_us))
+			g_queue_push_tail(&d->late_draws, pending);
+		else
+			pending_draw_delete(pending);
 	}
+	while ((pending = g_queue_peek_head(&d->late_draws)) &&
+	       now_us - pending->sent_us > LATE_ANSWER_US)
+		pending_draw_delete(g_queue_pop_head(&d->late_draws));
 }
 
 static void draw_for_due_accounts(struct bb_drawer *d, struct shard *shard,
@@ -237,7 +262,8 @@
 	/* A report is sent before the tokens expire, and then stays in
 	 * pending_draws until it times out. */
 	for (uint32_t i = 0; i < CANDIDATES_MAX; i++)
-		if (now_us < a->pools[i].until_us + 2 * DRAW_TIMEOUT_US)
+		if (now_us <
+		    a->pools[i].until_us + DRAW_TIMEOUT_US + LATE_ANSWER_US)
 			return false;
 	return now_us - a->last_spend_us > ACCOUNT_IDLE_US &&
 	       !bb_local_account_draw_pending(a) && !a->queued;
@@ -282,8 +308,9 @@
 	send_batches(d, now_us);
 }
 
-/* Records why and until when a holder has no more tokens. */
-static void apply_retry_hint(struct pool *p, uint32_t retry_ms, int64_t now_us)
+/* Records why and until when a holder has no more tokens. Returns whether the
+ * account has spent all. */
+static bool apply_retry_hint(struct pool *p, uint32_t retry_ms, int64_t now_us)
 {
 	int64_t wait_us = (int64_t)retry_ms * BB_US_PER_MS;
 
@@ -297,9 +324,11 @@
 			      ALL_DRAWN_RETRY_US);
 	}
 	p->empty_until_us = now_us + MIN(wait_us, RETRY_HINT_MAX_US);
+	return !p->all_drawn && !p->expected_tokens;
 }
 
-static void apply_grant(struct local_account *a, struct pool *p,
+/* Returns whether the holder answered that the account has spent all. */
+static bool apply_grant(struct local_account *a, struct pool *p,
 			uint64_t incarnation, int64_t sent_us, int64_t until_us,
 			const struct bb_draw_grant *grant, int64_t now_us)
 {
@@ -308,7 +337,7 @@
 		p->prefetch_granted = grant->valid_ms > SHORT_VALID_MS;
 	if (p->prefetch && !p->prefetch_granted)
 		p->prefetch_after_us = now_us + PREFETCH_PAUSE_US;
-	p->draw_nonce = 0;
+	p->draw_nonce = p->late_nonce = 0;
 	if (grant->valid_ms) {
 		a->scarce = grant->valid_ms < SHORT_VALID_MS;
 		/* Tokens granted by an earlier process of the holder can't be
@@ -328,9 +357,20 @@
 	}
 	p->not_holder_until_us = INT64_MIN;
 	if (grant->retry_ms)
-		apply_retry_hint(p, grant->retry_ms, now_us);
-	else if (!grant->valid_ms)
+		return apply_retry_hint(p, grant->retry_ms, now_us);
+	if (!grant->valid_ms)
 		p->not_holder_until_us = now_us + NOT_HOLDER_BACKOFF_US;
+	return false;
+}
+
+/* Whether one of the holders that the account drew from answers late. */
+static bool has_stalling_holder(const struct bb_drawer *d,
+				const struct local_account *a, int64_t now_us)
+{
+	for (uint32_t i = 0; i < CANDIDATES_MAX; i++)
+		if (bb_drawer_is_stalling(d, a->pools[i].host, now_us))
+			return true;
+	return false;
 }
 
 static void receive_grant(struct bb_drawer *d, struct pending_draw *pending,
@@ -346,8 +386,12 @@
 	lock_shard(shard);
 	p = find_pool_of_draw(a, pending->nonce);
 	if (p) {
-		apply_grant(a, p, incarnation, pending->sent_us, until_us,
-			    grant, now_us);
+		bool told_empty = apply_grant(a, p, incarnation,
+					      pending->sent_us, until_us, grant,
+					      now_us);
+
+		if (told_empty && !has_stalling_holder(d, a, now_us))
+			a->told_empty_us = now_us;
 		/* What is missing is drawn from another holder, or the
 		 * requests are refused. */
 		bb_drawer_draw_if_needed(d, a, now_us);
@@ -355,24 +399,41 @@
 	unlock_shard(shard);
 }
 
+static GList *find_draw(GQueue *draws, uint64_t nonce)
+{
+	for (GList *l = draws->head; l; l = l->next)
+		if (((const struct pending_draw *)l->data)->nonce == nonce)
+			return l;
+	return NULL;
+}
+
 void bb_drawer_receive(struct bb_drawer *d, uint32_t from_host,
 		       const struct bb_message *m, int64_t now_us)
 {
 	const struct bb_message_draw_grant *r = &m->draw_grant;
-	struct pending_draw *pending = NULL;
+	GQueue *draws = &d->pending_draws;
+	struct pending_draw *pending;
 	GList *link;
 
 	if (m->type != BB_MESSAGE_DRAW_GRANT || !d->map)
 		return;
-	for (link = d->pending_draws.head; link; link = link->next) {
-		pending = link->data;
-		if (pending->nonce == r->nonce)
-			break;
+	link = find_draw(draws, r->nonce);
+	if (!link) {
+		draws = &d->late_draws;
+		link = find_draw(draws, r->nonce);
 	}
-	if (!link || pending->host != bb_lease_map_host_id(d->map, from_host) ||
+	if (!link)
+		return;
+	pending = link->data;
+	if (pending->host != bb_lease_map_host_id(d->map, from_host) ||
 	    r->grants_nr != pending->accounts->len)
 		return;
-	g_queue_delete_link(&d->pending_draws, link);
+	g_queue_delete_link(draws, link);
+	if (draws == &d->late_draws) {
+		g_hash_table_remove(d->silent, &pending->host);
+		set_time(d->late_hosts, pending->host, now_us);
+		bb_metrics_add(BB_METRIC_DRAWS_LATE, 1);
+	}
 	for (guint i = 0; i < pending->accounts->len; i++)
 		receive_grant(d, pending,
 			      g_ptr_array_index(pending->accounts, i),
--- a/src/liblimit/drawer_policy.c
+++ b/src/liblimit/drawer_policy.c
@@ -5,6 +5,7 @@
  */
 #include "drawer_private.h"
 
+#include <ck_pr.h>
 #include <string.h>
 
 #include "preferred_holder.h"
@@ -20,6 +21,14 @@
  * may get its first lease just after it was asked.
  */
 #define NOT_HOLDER_RETRY_US (100 * BB_US_PER_MS)
+/*
+ * With the policy rank_order a holder that did not answer is asked again after
+ * this time if requests wait and nobody else can be asked: a stalled node answers
+ * within this time or has lost the message.
+ */
+#define SILENT_RETRY_US (300 * BB_US_PER_MS)
+/* Time for which a host that answered late counts as stalling. */
+#define STALLING_US (5 * BB_US_PER_S)
 /* Longest wait for the next token of an account whose burst has few tokens. */
 #define SCARCE_WAIT_MAX_US (200 * BB_US_PER_MS)
 /*
@@ -93,6 +102,15 @@
 	return until_us && now_us < *until_us;
 }
 
+/* Whether a host answered a draw after its time-out lately. */
+bool bb_drawer_is_stalling(const struct bb_drawer *d, uint64_t host,
+			   int64_t now_us)
+{
+	const int64_t *late_us = g_hash_table_lookup(d->late_hosts, &host);
+
+	return late_us && now_us - *late_us < STALLING_US;
+}
+
 static bool is_stopping(const struct bb_drawer *d, uint32_t host,
 			int64_t now_us)
 {
@@ -176,6 +194,7 @@
 	p->expires_linearly |= p->prefetch;
 	p->from_tokens = p->tokens;
 	p->from_us = now_us;
+	p->late_nonce = 0;
 	/* The draw counts as pending until send_batch() assigns the nonce. */
 	p->draw_nonce = UINT64_MAX;
 	g_array_append_val(b->draws, draw);
@@ -192,6 +211,29 @@
 	return false;
 }
 
+/* Asks a holder again that did not answer. If another holder answered that it has
+ * no tokens left, only one that answers late is worth a wait. Returns false if
+ * there is none, or if an answer may still come. */
+static bool draw_from_silent(struct bb_drawer *d, struct local_account *a,
+			     const struct candidates *c, int64_t wanted,
+			     bool other_empty, int64_t now_us)
+{
+	for (uint32_t i = 0; i < MIN(c->nr, BB_LEASE_HOLDERS); i++) {
+		struct pool *p = get_pool(a, c->ids[i]);
+
+		if (!p || !is_silent(d, c->ids[i], now_us) ||
+		    now_us < unavailable_until_us(p) ||
+		    (other_empty &&
+		     !bb_drawer_is_stalling(d, c->ids[i], now_us)) ||
+		    (p->late_nonce && now_us - p->from_us < SILENT_RETRY_US))
+			continue;
+		add_draw(d, c->hosts[i], a, p, wanted, 0, SHORT_VALID_MS,
+			 now_us);
+		return true;
+	}
+	return false;
+}
+
 /*
  * Draws from the first holder that may have tokens. While requests wait and
  * all hosts answered that they do not hold the group, they are asked again in
@@ -231,6 +273,9 @@
 			 now_us);
 		return 0;
 	}
+	if (a->waiting && ck_pr_load_uint(&d->ranked) &&
+	    draw_from_silent(d, a, c, wanted, next_us != INT64_MAX, now_us))
+		return 0;
 	if (next_us != INT64_MAX || !a->waiting || !oldest ||
 	    now_us + NOT_HOLDER_BACKOFF_US - NOT_HOLDER_RETRY_US <
 		    oldest->not_holder_until_us)
@@ -353,6 +398,16 @@
 	return false;
 }
 
+/* Whether the answer to a draw that timed out may still come. */
+static bool is_answer_due(const struct local_account *a, int64_t now_us)
+{
+	for (uint32_t i = 0; i < CANDIDATES_MAX; i++)
+		if (a->pools[i].late_nonce &&
+		    now_us - a->pools[i].from_us < SILENT_RETRY_US)
+			return true;
+	return false;
+}
+
 /*
  * Whether a few requests may wait until @next_us instead of being refused. If
  * the burst is one or two tokens, a node gets few grants, and often only the
@@ -363,7 +418,7 @@
 {
 	if (a->waiting > ALL_DRAWN_WAITING_MAX)
 		return false;
-	return is_all_drawn(a, now_us) ||
+	return is_all_drawn(a, now_us) || is_answer_due(a, now_us) ||
 	       (a->scarce && d->o.report_idle_us > 1 &&
 		next_us - now_us <= SCARCE_WAIT_MAX_US);
 }
--- a/src/liblimit/drawer_private.h
+++ b/src/liblimit/drawer_private.h
@@ -33,6 +33,8 @@
  *                    to 0 at @until_us
  * @draw_nonce: nonce of the pending draw, 0 if none, UINT64_MAX until its
  *              message is sent
+ * @late_nonce: nonce of the last draw if it timed out and its answer is still
+ *              used, else 0; with the policy rank_order only
  * @prefetch: the pending draw asks for more than waiting requests need
  * @prefetch_after_us: nothing is prefetched from this holder before this time
  * @prefetch_granted: the last prefetch was granted more than one request needs
@@ -54,6 +56,7 @@
 	int64_t until_us;
 	bool expires_linearly;
 	uint64_t draw_nonce;
+	uint64_t late_nonce;
 	bool prefetch;
 	int64_t prefetch_after_us;
 	bool prefetch_granted;
@@ -77,6 +80,8 @@
  * @scarce: the last grant had a shorter validity because the holder's share of
  *          the burst has room for few tokens
  * @prefetch_below: amount of tokens below which more are prefetched
+ * @told_empty_us: when a holder last answered that the account has spent all,
+ *                 while no other one was known to answer late
  * @refuse_until_us: requests that find no token are refused before this time
  * @waiting_max: requests that may wait before @waiting_max_until_us
  */
@@ -93,6 +98,7 @@
 	bool scarce;
 	int64_t prefetch_below;
 	int64_t last_spend_us;
+	int64_t told_empty_us;
 	int64_t refuse_until_us;
 	uint32_t waiting_max;
 	int64_t waiting_max_until_us;
@@ -132,24 +138,32 @@
 /*
  * State of one drawer.
  * @self: identifier of this host
+ * @ranked: the configuration has the policy rank_order; atomic
  * @nonce: of the last message sent
  * @accounts_nr: number of accounts in all shards
  * @swept_us: time of the last check of all accounts
  * @silent: hosts that did not answer a draw, by identifier, with the time
  *          before which they are not asked again
  * @pending_draws: messages that wait for an answer, oldest first
+ * @late_draws: messages that timed out and whose answers are still used, oldest
+ *              first
+ * @late_hosts: hosts that answered a draw after its time-out, by identifier,
+ *              with the time of the last such answer
  * @batches: messages that are not sent yet
  */
 struct bb_drawer {
 	struct bb_drawer_options o;
 	uint64_t self;
 	struct bb_lease_map *map;
+	unsigned int ranked;
 	uint64_t nonce;
 	unsigned int accounts_nr;
 	int64_t swept_us;
 	struct candidates candidates[BB_LEASE_GROUPS];
 	GHashTable *silent;
 	GQueue pending_draws;
+	GQueue late_draws;
+	GHashTable *late_hosts;
 	GPtrArray *batches;
 	struct shard shards[SHARDS];
 };
@@ -173,6 +187,8 @@
 
 /* Choice of draws, on the control thread. Where an account is passed, its shard
  * is locked by the caller. */
+bool bb_drawer_is_stalling(const struct bb_drawer *d, uint64_t host,
+			   int64_t now_us);
 bool bb_local_account_draw_pending(const struct local_account *a);
 void bb_drawer_forget_candidates(struct bb_drawer *d);
 void bb_drawer_report_account(struct bb_drawer *d, struct local_account *a,
--- a/src/liblimit/drawer_spend.c
+++ b/src/liblimit/drawer_spend.c
@@ -8,6 +8,10 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Time for which the answer that an account has spent all keeps its requests from
+ * the reserve: as long as they may wait for another holder. */
+#define TOLD_EMPTY_US (500 * BB_US_PER_MS)
+
 struct shard *bb_drawer_shard(struct bb_drawer *d, const char *name)
 {
 	return &d->shards[(XXH3_64bits(name, strlen(name)) >> 32) % SHARDS];
@@ -97,6 +101,7 @@
 	a->name = g_strdup(account);
 	a->group = bb_lease_group(account, strlen(account));
 	a->demand_from_us = now_us;
+	a->told_empty_us = INT64_MIN / 2;
 	a->refuse_until_us = INT64_MIN;
 	a->waiting_max_until_us = INT64_MIN;
 	a->prefetch_below = INT64_MAX;
@@ -175,3 +180,20 @@
 		a->waiting--;
 	unlock_shard(shard);
 }
+
+bool bb_drawer_may_use_reserve(struct bb_drawer *d, const char *account,
+			       int64_t now_us)
+{
+	struct shard *shard = bb_drawer_shard(d, account);
+	const struct local_account *a;
+	bool may = true;
+
+	if (!ck_pr_load_uint(&d->ranked))
+		return true;
+	lock_shard(shard);
+	a = g_hash_table_lookup(shard->accounts, account);
+	if (a)
+		may = now_us - a->told_empty_us >= TOLD_EMPTY_US;
+	unlock_shard(shard);
+	return may;
+}
--- a/src/libnode/control.c
+++ b/src/libnode/control.c
@@ -635,6 +635,12 @@
 	bb_drawer_cancel_wait(c->drawer, account);
 }
 
+bool bb_control_may_use_reserve(struct bb_control *c, const char *account,
+				int64_t now_us)
+{
+	return bb_drawer_may_use_reserve(c->drawer, account, now_us);
+}
+
 void bb_control_observe(struct bb_control *c, struct bb_observation *o)
 {
 	if (bb_mailbox_push(c->observations, o))
--- a/src/libnode/control.h
+++ b/src/libnode/control.h
@@ -136,6 +136,13 @@
  */
 void bb_control_cancel_wait(struct bb_control *c, const char *account);
 
+/**
+ * bb_control_may_use_reserve() - see bb_drawer_may_use_reserve(); safe from any
+ * thread.
+ */
+bool bb_control_may_use_reserve(struct bb_control *c, const char *account,
+				int64_t now_us);
+
 /**
  * bb_control_query_record() - send a query to the holder of the lease group of
  *			       its idempotency key; any thread.
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -26,8 +26,12 @@
 #define HELLO_RETRY_US (2 * BB_US_PER_MS)
 /* Longest wait for a WELCOME; after it the path counts as failed. */
 #define HELLO_TIMEOUT_US (200 * BB_US_PER_MS)
-/* Retry-After of answers with status 503 or 429. */
+/* Retry-After of answers with status 503 or 429, without the policy
+ * rank_order. */
 #define RETRY_AFTER_MS 1000u
+/* Most services, and most accounts, whose returns are kept; above the number of
+ * accounts of any deployment that has the policy. */
+#define RETURNS_MAX 8192u
 
 static void release_path(struct bb_attempts *t)
 {
@@ -57,11 +61,70 @@
 	e->o.finished(e->o.data, c);
 }
 
-void bb_attempts_refuse(struct bb_attempts *t, enum bb_verdict verdict,
-			enum bb_reason reason)
+static struct bb_returns *get_returns(GHashTable *all, const char *name)
+{
+	struct bb_returns *r = g_hash_table_lookup(all, name);
+
+	if (r)
+		return r;
+	if (g_hash_table_size(all) >= RETURNS_MAX)
+		g_hash_table_remove_all(all);
+	r = g_new0(struct bb_returns, 1);
+	g_hash_table_insert(all, g_strdup(name), r);
+	return r;
+}
+
+static struct bb_returns *service_returns(const struct bb_attempts *t)
+{
+	const struct bb_call *c = t->call;
+	const struct bb_config *own = c->snapshot->config;
+
+	return get_returns(t->entry->service_returns,
+			   own->services[c->service].name);
+}
+
+static struct bb_returns *account_returns(const struct bb_attempts *t)
+{
+	return get_returns(t->entry->account_returns,
+			   bb_call_account_name(t->call));
+}
+
+static void note_served(const struct bb_attempts *t)
 {
+	int64_t now_us = bb_clock_now_us();
+
+	if (!t->entry->snapshot->config->policies.rank_order)
+		return;
+	bb_returns_served(service_returns(t), now_us - t->sent_us, now_us);
+	bb_returns_served(account_returns(t), 0, now_us);
+}
+
+static uint32_t retry_after_ms(const struct bb_attempts *t,
+			       enum bb_reason reason)
+{
+	struct bb_entry *e = t->entry;
 	unsigned int status = bb_reason_status(reason);
+	int64_t now_us = bb_clock_now_us();
+	struct bb_returns *r;
+	struct bb_refusal x;
+
+	if (status != 503 && status != 429)
+		return 0;
+	if (!e->snapshot->config->policies.rank_order)
+		return RETRY_AFTER_MS;
+	r = status == 429 ? account_returns(t) : service_returns(t);
+	x = (struct bb_refusal){
+		.wait_us = status == 429 ? t->token_wait_us :
+					   bb_returns_wait_us(r, &t->last_load),
+		.left_us = t->call->deadline_us - now_us,
+		.random = g_rand_double(e->random),
+	};
+	return (uint32_t)(bb_returns_promise(r, &x, now_us) / BB_US_PER_MS);
+}
 
+void bb_attempts_refuse(struct bb_attempts *t, enum bb_verdict verdict,
+			enum bb_reason reason)
+{
 	if (t->has_answer) {
 		bb_attempts_finish(t);
 		return;
@@ -70,8 +133,7 @@
 		bb_log(BB_LOG_TRAFFIC, G_LOG_LEVEL_INFO, t->call->id,
 		       "request failed with verdict %s: %s",
 		       bb_verdict_string[verdict], bb_reason_string[reason]);
-	bb_call_refuse(t->call, verdict, reason,
-		       status == 503 || status == 429 ? RETRY_AFTER_MS : 0);
+	bb_call_refuse(t->call, verdict, reason, retry_after_ms(t, reason));
 	bb_attempts_finish(t);
 }
 
@@ -529,6 +591,7 @@
 {
 	struct bb_balance *b = call_balance(t);
 
+	t->last_load = r->load;
 	/* A refusal for a reason other than load may carry no load. */
 	if (b && t->path && r->load.slots)
 		bb_balance_report(b, t->path, &r->load, bb_clock_now_us());
@@ -610,6 +673,8 @@
 	take_notice(t, r);
 	bb_call_answer(t->call, r->status, r->headers, r->headers_nr, &r->body);
 	if (!decide_retry(t, &outcome)) {
+		if (r->status < 500)
+			note_served(t);
 		bb_attempts_finish(t);
 		return;
 	}
@@ -673,6 +738,11 @@
 
 	e->o = *o;
 	e->reserve = bb_reserve_new();
+	e->service_returns =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->account_returns =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->random = g_rand_new_with_seed((guint32)o->incarnation);
 	e->probe_sent_us = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	g_queue_init(&e->token_waiters);
 	e->calls = g_hash_table_new(NULL, NULL);
@@ -722,6 +792,9 @@
 	bb_entry_free_balances(e->balances, e->balances_nr);
 	g_free(e->retry_budgets);
 	bb_reserve_delete(e->reserve);
+	g_hash_table_destroy(e->service_returns);
+	g_hash_table_destroy(e->account_returns);
+	g_rand_free(e->random);
 	if (e->leaving_hosts)
 		g_hash_table_unref(e->leaving_hosts);
 	bb_paths_delete(e->paths);
--- a/src/libnode/entry_admit.c
+++ b/src/libnode/entry_admit.c
@@ -153,6 +153,7 @@
 					      MIN(left_us, e->o.draw_wait_us));
 		return;
 	case BB_SPEND_REFUSED:
+		t->token_wait_us = retry_us;
 		break;
 	}
 	t->state = ATTEMPT_NONE;
@@ -164,8 +165,11 @@
 	struct bb_entry *e = t->entry;
 	const struct bb_account *a = bb_call_account(t->call);
 	size_t hosts = e->snapshot->config->hosts_nr;
-	bool spent = e->o.use_reserve &&
-		     bb_reserve_spend(e->reserve, a, hosts, bb_clock_now_us());
+	int64_t now_us = bb_clock_now_us();
+	bool spent =
+		e->o.use_reserve &&
+		bb_control_may_use_reserve(e->o.control, a->name, now_us) &&
+		bb_reserve_spend(e->reserve, a, hosts, now_us);
 
 	bb_log_event(BB_LOG_LEASE, G_LOG_LEVEL_INFO, t->call->id,
 		     "holder_silent",
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -10,6 +10,7 @@
 #include "baobabward/balance.h"
 #include "baobabward/reserve.h"
 #include "baobabward/retry.h"
+#include "baobabward/retry_after.h"
 #include "libnode/entry.h"
 #include "libnode/request_spans.h"
 
@@ -51,6 +52,8 @@
  *                the outcome is stored when the call ends
  * @record_id: id of the query to the record store
  * @last_reason: why the last attempt failed
+ * @last_load: load of the backend server of the last attempt, zeroed if unknown
+ * @token_wait_us: time until a token may be available, if one was refused
  * @has_answer: an earlier attempt was answered with an error, which is passed
  *              on if no later attempt succeeds
  * @spans: trace spans of the call
@@ -75,6 +78,8 @@
 	bool key_recorded;
 	struct bb_request_id record_id;
 	enum bb_reason last_reason;
+	struct bb_load last_load;
+	int64_t token_wait_us;
 	bool has_answer;
 	struct bb_entry_spans spans;
 	GSource *timer;
@@ -96,6 +101,9 @@
  * @next_probe_us: earliest time of the next probe
  * @retry_budgets: retry budget of each service of the snapshot
  * @reserve: reserves of the client accounts
+ * @service_returns: struct bb_returns by service name
+ * @account_returns: struct bb_returns by account name
+ * @random: jitter of Retry-After
  * @last_sequence: sequence number last used by an attempt or record query
  * @token_waiters: attempts that wait for a token, oldest first
  * @hello_retry_timer: sends again the HELLOs that the transport refused
@@ -113,6 +121,9 @@
 	int64_t next_probe_us;
 	struct bb_retry_budget *retry_budgets;
 	struct bb_reserve *reserve;
+	GHashTable *service_returns;
+	GHashTable *account_returns;
+	GRand *random;
 	uint64_t last_sequence;
 	GQueue token_waiters;
 	GSource *hello_retry_timer;
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -13,6 +13,7 @@
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
 #include "baobabward/metrics.h"
+#include "baobabward/retry_after.h"
 #include "libnode/answer.h"
 
 /* Memory for the request line and headers of a connection. */
@@ -23,14 +24,23 @@
  */
 #define DISCARD_MAX_BYTES ((size_t)1024 * 1024)
 
-/* Retry-After of a refusal because this node cannot serve (status 503). */
+/* Retry-After of a refusal because this node cannot serve (status 503), without
+ * the policy rank_order. */
 #define RETRY_AFTER_UNAVAILABLE_MS 1000u
 
+static uint32_t retry_after_unavailable_ms(const struct bb_call *c)
+{
+	if (!c->snapshot || !c->snapshot->config->policies.rank_order)
+		return RETRY_AFTER_UNAVAILABLE_MS;
+	return (uint32_t)(bb_retry_after_unavailable_us(g_random_double()) /
+			  BB_US_PER_MS);
+}
+
 static enum MHD_Result refuse(struct bb_front *f, struct bb_call *c,
 			      enum bb_reason reason)
 {
 	uint32_t retry_after_ms = bb_reason_status(reason) == 503 ?
-					  RETRY_AFTER_UNAVAILABLE_MS :
+					  retry_after_unavailable_ms(c) :
 					  0;
 
 	bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, retry_after_ms);
@@ -189,7 +199,7 @@
 	if (f->o.submit(f->o.data, c))
 		return MHD_YES;
 	bb_call_refuse(c, BB_VERDICT_NOT_RUN, BB_REASON_QUEUE_FULL,
-		       RETRY_AFTER_UNAVAILABLE_MS);
+		       retry_after_unavailable_ms(c));
 	c->state = BB_CALL_ANSWERED;
 	MHD_resume_connection(c->connection);
 	return MHD_YES;
--- a/src/test_lib/limit_driver.h
+++ b/src/test_lib/limit_driver.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,6 +20,7 @@
 
 #include "baobabward/clock.h"
 #include "baobabward/limit.h"
+#include "baobabward/reserve.h"
 
 namespace limit_driver
 {
@@ -27,6 +29,8 @@
 const int64_t SECOND = BB_US_PER_S;
 // Time by which one step advances the clock.
 const int64_t STEP_US = 5 * MS;
+// Longest wait of a request for a token.
+const int64_t WAIT_US = 500 * MS;
 // Interval of ticks, of liveness exchange and of the checkers' samples.
 const int64_t SAMPLE_US = 100 * MS;
 
@@ -177,6 +181,7 @@
 	bb_holder *holder = nullptr;
 	bb_grantor *grantor = nullptr;
 	bb_drawer *drawer = nullptr;
+	bb_reserve *reserve = nullptr;
 	// Earlier configurations are kept, as under epoch-based reclamation.
 	std::vector<std::shared_ptr<Document>> old_docs;
 
@@ -186,7 +191,11 @@
 
 // @spare is the number of nodes that are not in the first configuration. The
 // ratios are probabilities for each message; a late one is delayed by 12 s
-// at most.
+// at most. With @ranked, groups are held by rank instead of by lease, a request
+// that finds no token may spend the reserve of its node, and the exact checks of
+// windows and shares, which hold for leases only, are left out. A node counts as
+// dead @alive_us after its last sign of life. @policy is rank_order of the
+// configuration.
 struct Options {
 	int nodes = 5;
 	uint32_t holders = BB_LEASE_HOLDERS;
@@ -201,6 +210,9 @@
 	bool drift = true;
 	int64_t report_idle_us = 0;
 	std::vector<std::string> accounts = { "a" };
+	bool ranked = false;
+	bool policy = false;
+	int64_t alive_us = 3 * SECOND;
 };
 
 // Requests so far.
@@ -225,6 +237,9 @@
 	std::multimap<int64_t, std::shared_ptr<QueuedMessage>> net;
 	std::map<std::string, std::vector<int64_t>> admitted;
 	Counters count;
+	// Called for each request that is refused, with its account and whether
+	// it waited for its whole time.
+	std::function<void(const std::string &, bool)> on_refused;
 	uint64_t incarnations = 0;
 	long messages = 0;
 	std::string violation;
@@ -296,6 +311,7 @@
 		published.push_back(std::make_shared<Document>(
 			version, hosts, o.accounts, rate, burst, changed,
 			before));
+		published.back()->c.policies.rank_order = o.policy;
 		return published.back();
 	}
 
@@ -304,7 +320,10 @@
 	void apply(Node *n, const std::shared_ptr<Document> &doc);
 	void send(Node *from, uint32_t host, const bb_message *m);
 	void request(int i, const std::string &account);
+	void request_later(int i, const std::string &account);
 	void retry(Node *n);
+	bool spend_reserve(Node *n, const std::string &account);
+	void refuse(const std::string &account, bool late);
 	void admit(const std::string &account);
 	void exchange_liveness();
 	void sample_limits();
@@ -382,7 +401,17 @@
 	if (peer == n->id)
 		return true;
 	return !n->believes_all_dead &&
-	       now_us - n->liveness[peer].at < 3 * SECOND;
+	       now_us - n->liveness[peer].at < n->fleet->o.alive_us;
+}
+
+inline uint32_t reachable_permille(void *data, int64_t now_us)
+{
+	Node *n = static_cast<Node *>(data);
+	uint32_t hosts = n->doc->hosts.size(), nr = 0;
+
+	for (uint32_t i = 0; i < hosts; i++)
+		nr += alive(data, i, now_us);
+	return 1000 * nr / hosts;
 }
 
 inline void send_message(void *data, uint32_t host, const bb_message *m)
@@ -402,7 +431,7 @@
 
 	n->incarnation = ++incarnations;
 	n->up = true;
-	n->liveness.assign(nodes.capacity() + 64, Liveness());
+	n->liveness.assign(cut.size() + 64, Liveness());
 	lender_options.self = holder_options.self = drawer_options.self =
 		n->name.c_str();
 	lender_options.incarnation = holder_options.incarnation =
@@ -421,6 +450,9 @@
 	lender_options.quorum_accepted = quorum_accepted;
 	grantor_options.find_account = find_account;
 	drawer_options.report_idle_us = o.report_idle_us;
+	if (o.ranked)
+		holder_options.reachable_permille = reachable_permille;
+	n->reserve = bb_reserve_new();
 	n->lender = bb_lender_new(&lender_options);
 	n->holder = bb_holder_new(&holder_options);
 	grantor_options.holder = n->holder;
@@ -439,6 +471,7 @@
 	bb_grantor_delete(n->grantor);
 	bb_holder_delete(n->holder);
 	bb_lender_delete(n->lender);
+	bb_reserve_delete(n->reserve);
 	count.refused += n->waiters.size();
 	n->waiters.clear();
 	n->up = false;
@@ -446,7 +479,7 @@
 
 inline void Fleet::apply(Node *n, const std::shared_ptr<Document> &doc)
 {
-	bb_lease_map *m = bb_lease_map_new(&doc->c, true);
+	bb_lease_map *m = bb_lease_map_new(&doc->c, !o.ranked);
 
 	bb_lease_map_set_holders(m, o.holders);
 	n->old_docs.push_back(doc);
@@ -487,6 +520,11 @@
 	double refill = 0, burst = 0;
 	size_t back = k + 1;
 
+	if (o.ranked) {
+		count.admitted++;
+		times.push_back(now);
+		return;
+	}
 	// Leases may have been granted since the last sample.
 	max_limits(account, &r.back(), &b.back());
 	count.admitted++;
@@ -530,11 +568,42 @@
 		count.refused++;
 		return;
 	}
-	n->waiters.push_back({ account, n->local() + 500 * MS, false });
+	n->waiters.push_back({ account, n->local() + WAIT_US, false });
 	retry(n);
 	deliver();
 }
 
+inline bool Fleet::spend_reserve(Node *n, const std::string &account)
+{
+	uint32_t row = find_account(&n->doc->c, account.data(), account.size());
+
+	return o.ranked && row != BB_NO_ROW &&
+	       bb_drawer_may_use_reserve(n->drawer, account.c_str(),
+					 n->local()) &&
+	       bb_reserve_spend(n->reserve, &n->doc->accounts[row],
+				n->doc->hosts.size(), n->local());
+}
+
+inline void Fleet::refuse(const std::string &account, bool late)
+{
+	count.refused++;
+	if (on_refused)
+		on_refused(account, late);
+}
+
+// Like request(), but a request at a paused node waits until the node goes on.
+inline void Fleet::request_later(int i, const std::string &account)
+{
+	Node *n = nodes[i].get();
+
+	if (!n->up || !n->paused()) {
+		request(i, account);
+		return;
+	}
+	count.asked++;
+	n->waiters.push_back({ account, n->local() + WAIT_US, false });
+}
+
 inline void Fleet::retry(Node *n)
 {
 	std::vector<Waiter> rest;
@@ -550,9 +619,12 @@
 			w.waited = true;
 			rest.push_back(w);
 		} else {
-			count.refused++;
 			if (s == BB_SPEND_WAIT)
 				bb_drawer_cancel_wait(n->drawer, account);
+			if (s == BB_SPEND_WAIT && spend_reserve(n, w.account))
+				admit(w.account);
+			else
+				refuse(w.account, s == BB_SPEND_WAIT);
 		}
 	}
 	n->waiters = rest;
@@ -579,6 +651,8 @@
 {
 	uint32_t group = bb_lease_group(a.data(), a.size());
 
+	if (o.ranked)
+		return;
 	for (auto &n : nodes) {
 		if (!n->up || !bb_holder_seats(n->holder, group, n->local()))
 			continue;
@@ -612,6 +686,8 @@
 {
 	std::vector<uint64_t> sums(BB_LEASE_GROUPS);
 
+	if (o.ranked)
+		return;
 	for (auto &n : nodes)
 		for (uint32_t g = 0; n->up && g < BB_LEASE_GROUPS; g++)
 			sums[g] += bb_holder_share(n->holder, g, n->local());
