Queue: returns do not count for the bound of a rank

Cause: callers of low ranks are refused and come back up to 14 times within their deadline.

Change: arrivals with less than 90% of their route's timeout left do not count. Starts in order count against starts out of order. When no return can be promised in time, Retry-After is around the third of the time left that callers follow, not below it.

--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -61,6 +61,7 @@
  *                  latency, 0 for no such limit; used with an order of ranks only
  * @rank: 0 is the highest, ranks from BB_QUEUE_RANKS on are all the lowest; used
  *        with an order of ranks only
+ * @returned: it was refused before; used with an order of ranks only
  * @needs_new_connection: must not reuse an idle connection
  * @opens_connection: set by bb_queue_pop(): open a new connection, which is
  *                    counted already
@@ -85,6 +86,7 @@
 	int64_t max_wait_us;
 	int64_t useful_wait_us;
 	uint32_t rank;
+	bool returned;
 	bool needs_new_connection;
 	bool opens_connection;
 	bool closes_idle;
--- a/include/baobabward/retry_after.h
+++ b/include/baobabward/retry_after.h
@@ -9,8 +9,8 @@
  * lately.
  *
  * Callers follow the time only up to a third of the time that they have left. A
- * return that would be promised later is spread over the second half of that
- * third instead.
+ * return that would be promised later is spread around that time instead: a
+ * caller that comes back as late as it can is refused least often.
  *
  * The functions do no I/O; times are microseconds of the caller's monotonic
  * clock. Not thread safe.
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -568,6 +568,10 @@
 	return i == BB_NO_ROW ? NULL : &c->accounts[i];
 }
 
+/* Part of the timeout of its route after which a request has probably been
+ * refused before: its caller came back with the deadline of its first try. */
+#define RETURNED_PERCENT 10
+
 /*
  * A request waits only as long as its answer can still arrive within the target
  * latency of its route; a request that would wait longer is refused at once.
@@ -612,6 +616,8 @@
 	if (!ranked)
 		return;
 	e->rank = 1 + limits.priority;
+	e->returned = limits.left_us * 100 <
+		      limits.timeout_us * (100 - RETURNED_PERCENT);
 	e->useful_wait_us = e->max_wait_us;
 	if (limits.target_us)
 		e->max_wait_us = bb_admission_late_wait_us(&limits);
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -34,8 +34,8 @@
 #define COUNT_DECAY_US (4 * BB_US_PER_S)
 /* Odd, so that the classes of an account have different identifiers. */
 #define CLASS_HASH_STEP UINT64_C(0x9e3779b97f4a7c15)
-/* Most starts that a rank can be owed: it must not displace the others for long
- * after a time in which none of its requests waited. */
+/* Most starts that a rank can be owed, or be ahead of its bound: what was long ago
+ * must not displace other ranks for long, or keep it from its bound. */
 #define OWED_MAX 3.0
 /* Weight of a new measurement in the ratio of real to estimated waits. */
 #define SLOWNESS_GAIN 0.125
@@ -106,12 +106,14 @@
 /**
  * struct rank_count - requests of one rank, with exponential decay.
  * @offered: requests that were pushed, also those that were refused
+ * @fresh: those of them that were not refused before
  * @started: requests that got a slot
- * @owed: starts that the bound grants to the rank and that it has not had; does
- *        not decay
+ * @owed: starts that the bound grants to the rank and that it has not had, below
+ *        0 if it had more; does not decay
  */
 struct rank_count {
 	double offered;
+	double fresh;
 	double started;
 	double owed;
 };
@@ -323,6 +325,7 @@
 	q->counted_us = now_us;
 	for (size_t i = 0; i < BB_QUEUE_RANKS; i++) {
 		q->counts[i].offered *= factor;
+		q->counts[i].fresh *= factor;
 		q->counts[i].started *= factor;
 	}
 }
@@ -333,7 +336,7 @@
 	struct rank_count sum = { 0 };
 
 	for (size_t i = 1; i < BB_QUEUE_RANKS; i++) {
-		sum.offered += q->counts[i].offered;
+		sum.fresh += q->counts[i].fresh;
 		sum.started += q->counts[i].started;
 	}
 	return sum;
@@ -346,22 +349,28 @@
 	return q->ranked && q->counts[rank].owed >= 1;
 }
 
-static void count_offered(struct bb_queue *q, uint32_t rank)
+/*
+ * The bound is a ratio of requests. Callers of low ranks are refused and return
+ * more often, so that a ratio of arrivals would grant them several times as much.
+ */
+static void count_offered(struct bb_queue *q, const struct bb_queue_entry *e,
+			  uint32_t rank)
 {
 	struct rank_count all, *c = &q->counts[rank];
 
 	c->offered += 1;
-	if (!rank)
+	if (!rank || e->returned)
 		return;
+	c->fresh += 1;
 	all = sum_counts(q);
-	c->owed += all.started / all.offered * BB_QUEUE_FLOOR_PERMILLE / 1000;
+	c->owed += all.started / all.fresh * BB_QUEUE_FLOOR_PERMILLE / 1000;
 	c->owed = fmin(c->owed, OWED_MAX);
 }
 
 static void count_started(struct bb_queue *q, uint32_t rank)
 {
 	q->counts[rank].started += 1;
-	q->counts[rank].owed = fmax(q->counts[rank].owed - 1, 0);
+	q->counts[rank].owed = fmax(q->counts[rank].owed - 1, -OWED_MAX);
 }
 
 /*
@@ -389,7 +398,7 @@
 {
 	if (!q->ranked || is_late_class(class))
 		return 0;
-	return q->counts[class].offered / fmax(sum_counts(q).offered, 1) *
+	return q->counts[class].fresh / fmax(sum_counts(q).fresh, 1) *
 	       BB_QUEUE_FLOOR_PERMILLE / 1000;
 }
 
@@ -676,7 +685,7 @@
 	remove_idle_accounts(q, now_us);
 	if (q->ranked) {
 		decay_counts(q, now_us);
-		count_offered(q, first_class(q, e));
+		count_offered(q, e, first_class(q, e));
 	}
 	set_expiry(q, e, has_slot, now_us);
 	a = find_or_add_account(q, e, first_class(q, e), now_us);
--- a/src/libroute/retry_after.c
+++ b/src/libroute/retry_after.c
@@ -70,8 +70,8 @@
 	interval = interval_us(r);
 	at_us = MAX(now_us + MAX(x->wait_us, 0), r->next_us);
 	if (at_us + (int64_t)interval - now_us > longest_us) {
-		delay_us =
-			(int64_t)((double)longest_us * (0.5 + 0.5 * x->random));
+		delay_us = (int64_t)((double)longest_us *
+				     (0.75 + 0.5 * x->random));
 	} else {
 		r->next_us = at_us + (int64_t)interval;
 		delay_us = at_us - now_us + (int64_t)(interval * x->random);
