--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -619,8 +619,13 @@
 	e->returned = limits.left_us * 100 <
 		      limits.timeout_us * (100 - RETURNED_PERCENT);
 	e->useful_wait_us = e->max_wait_us;
-	if (limits.target_us)
-		e->max_wait_us = bb_admission_late_wait_us(&limits);
+	if (!limits.target_us)
+		return;
+	/* The entry node then cancels it to try another backend server. */
+	if (job->request.idempotent && a->o.attempt_percent)
+		limits.left_us = limits.left_us * a->o.attempt_percent / 100;
+	e->max_wait_us =
+		MAX(e->useful_wait_us, bb_admission_late_wait_us(&limits));
 }
 
 static void fill_queue_entry(const struct bb_adjacent *a, struct bb_job *job,
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -46,6 +46,8 @@
  * @breaker: redirect requests away from backend servers whose circuit breaker
  *           is open
  * @booking_wait_us: longest wait of a non-idempotent request in the queue
+ * @attempt_percent: percentage of the time left that entry nodes give an attempt
+ *                   of an idempotent request, 0 for all of it
  */
 struct bb_adjacent_options {
 	GMainContext *context;
@@ -59,6 +61,7 @@
 	struct bb_notices *notices;
 	bool breaker;
 	int64_t booking_wait_us;
+	uint32_t attempt_percent;
 };
 
 struct bb_adjacent *bb_adjacent_new(const struct bb_adjacent_options *o,
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -360,6 +360,7 @@
 		.dialect = t->o.dialect,
 		.breaker = s->breaker,
 		.booking_wait_us = s->booking_wait_ms * BB_US_PER_MS,
+		.attempt_percent = s->attempt_percent,
 	};
 	struct bb_entry_options eo = {
 		.context = t->context,
