Queue: late requests keep the place of their rank

Cause: a request that could no longer be in time waited behind all ranks that could.

Change: late requests wait behind those of their own rank only. An entry node promises returns for each priority of a service, so that the many of low priority do not send away one of high priority for long.

--- a/include/baobabward/queue.h
+++ b/include/baobabward/queue.h
@@ -15,7 +15,7 @@
  * rate beside steady ones, or a burst of the least urgent kind of request. Each
  * rank is served at least BB_QUEUE_FLOOR_PERMILLE as often as all ranks on
  * average. A request whose answer would come after its target latency waits
- * behind all that can still meet theirs.
+ * behind those of its rank that can still meet theirs.
  *
  * An entry is refused as soon as the estimate of its wait shows that it cannot
  * start in time. Not thread safe; no I/O; all times are microseconds of the
--- a/include/baobabward/retry_after.h
+++ b/include/baobabward/retry_after.h
@@ -27,8 +27,8 @@
 #endif
 
 /**
- * struct bb_returns - returns promised by one node for one service or client
- * account. Zero it before first use.
+ * struct bb_returns - returns promised by one node for one priority of a service,
+ * or for one client account. Zero it before first use.
  * @served: requests served lately, with exponential decay
  * @service_us: moving average of the time that a request took, 0 if unknown
  * @counted_us: time up to which @served has decayed
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -74,13 +74,19 @@
 	return r;
 }
 
+/* Each priority has returns of its own: the many of low priority must not send
+ * away one of high priority for long, which is served before them. */
 static struct bb_returns *service_returns(const struct bb_attempts *t)
 {
 	const struct bb_call *c = t->call;
-	const struct bb_config *own = c->snapshot->config;
-
-	return get_returns(t->entry->service_returns,
-			   own->services[c->service].name);
+	const struct bb_account *a =
+		c->account == BB_NO_ROW ? NULL : bb_call_account(c);
+	const char *service = c->snapshot->config->services[c->service].name;
+	char key[BB_NAME_MAX + 16];
+
+	g_snprintf(key, sizeof(key), "%s %u", service,
+		   a && a->ranked ? a->priority : bb_call_route(c)->priority);
+	return get_returns(t->entry->service_returns, key);
 }
 
 static struct bb_returns *account_returns(const struct bb_attempts *t)
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -101,7 +101,7 @@
  * @next_probe_us: earliest time of the next probe
  * @retry_budgets: retry budget of each service of the snapshot
  * @reserve: reserves of the client accounts
- * @service_returns: struct bb_returns by service name
+ * @service_returns: struct bb_returns by service name and priority
  * @account_returns: struct bb_returns by account name
  * @random: jitter of Retry-After
  * @last_sequence: sequence number last used by an attempt or record query
--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -25,8 +25,8 @@
 #define RECHECK_INTERVAL_US (10 * BB_US_PER_MS)
 
 /*
- * Classes of waiting entries, in the order in which they start: one for each
- * rank, then one for each rank with the entries whose answers will be late.
+ * Classes of waiting entries, in the order in which they start: for each rank
+ * first the entries that can be in time, then those whose answers will be late.
  */
 #define CLASSES (2 * BB_QUEUE_RANKS)
 /* Time constant of the counts of offered and started requests: some service
@@ -307,12 +307,12 @@
 
 static bool is_late_class(uint32_t class)
 {
-	return class >= BB_QUEUE_RANKS;
+	return class % 2;
 }
 
 static uint32_t class_rank(uint32_t class)
 {
-	return class % BB_QUEUE_RANKS;
+	return class / 2;
 }
 
 static void decay_counts(struct bb_queue *q, int64_t now_us)
@@ -380,13 +380,14 @@
  */
 static double share_left(const struct bb_queue *q, uint32_t class)
 {
-	uint32_t before = is_late_class(class) ? BB_QUEUE_RANKS : class;
+	uint32_t before = class_rank(class) + is_late_class(class);
 	double start_us = start_interval_us(q, q->service_us);
 	double left = 1;
 
 	for (uint32_t i = 0; i < before; i++) {
-		double gone = q->counts[i].offered - q->classes[i].waiting -
-			      q->classes[i + BB_QUEUE_RANKS].waiting;
+		uint32_t waiting = q->classes[(size_t)2 * i].waiting +
+				   q->classes[(size_t)2 * i + 1].waiting;
+		double gone = q->counts[i].offered - waiting;
 
 		left -= fmax(gone, 0) * start_us / COUNT_DECAY_US;
 	}
@@ -398,8 +399,8 @@
 {
 	if (!q->ranked || is_late_class(class))
 		return 0;
-	return q->counts[class].fresh / fmax(sum_counts(q).fresh, 1) *
-	       BB_QUEUE_FLOOR_PERMILLE / 1000;
+	return q->counts[class_rank(class)].fresh /
+	       fmax(sum_counts(q).fresh, 1) * BB_QUEUE_FLOOR_PERMILLE / 1000;
 }
 
 /* Entries that start before those of a class. */
@@ -438,7 +439,8 @@
 		   share_left(q, a->class);
 	by_bound = (fmin(fair, all) + any) /
 		   fmax(share_bound(q, a->class), LEAST_SHARE);
-	if (!ahead && is_owed(q, a->class))
+	if (!ahead && !is_late_class(a->class) &&
+	    is_owed(q, class_rank(a->class)))
 		by_bound = any * (1 + c->ring.length);
 	return fmin(in_order, by_bound) + pace;
 }
@@ -546,7 +548,7 @@
 {
 	for (uint32_t c = CLASSES - 1; c > class; c--)
 		if (q->classes[c].waiting >
-		    (!is_late_class(c) && is_owed(q, c)))
+		    (!is_late_class(c) && is_owed(q, class_rank(c))))
 			return c;
 	return class;
 }
@@ -627,7 +629,7 @@
 static uint32_t first_class(const struct bb_queue *q,
 			    const struct bb_queue_entry *e)
 {
-	return q->ranked ? MIN(e->rank, BB_QUEUE_RANKS - 1) : 0;
+	return q->ranked ? 2 * MIN(e->rank, BB_QUEUE_RANKS - 1) : 0;
 }
 
 /* Whether a new entry can start in time in the class of an account. Sets
@@ -636,7 +638,8 @@
 		 struct bb_queue_entry *e, int64_t end_us, int64_t now_us)
 {
 	double wait = estimate_new_wait_us(q, a, now_us);
-	bool owed = !is_late_class(a->class) && is_owed(q, a->class);
+	bool owed = !is_late_class(a->class) &&
+		    is_owed(q, class_rank(a->class));
 
 	e->estimated_us = (int64_t)wait;
 	if (!owed)
@@ -659,7 +662,7 @@
 		return a;
 	if (e->late_us >= e->expires_us)
 		return NULL;
-	a = find_or_add_account(q, e, class + BB_QUEUE_RANKS, now_us);
+	a = find_or_add_account(q, e, class + 1, now_us);
 	return fits(q, a, e, e->expires_us, now_us) ? a : NULL;
 }
 
@@ -685,7 +688,7 @@
 	remove_idle_accounts(q, now_us);
 	if (q->ranked) {
 		decay_counts(q, now_us);
-		count_offered(q, e, first_class(q, e));
+		count_offered(q, e, class_rank(first_class(q, e)));
 	}
 	set_expiry(q, e, has_slot, now_us);
 	a = find_or_add_account(q, e, first_class(q, e), now_us);
@@ -825,15 +828,16 @@
 	return best;
 }
 
-/* The lowest rank that is owed a start and has an entry that waits, else 0. Calls
- * that wait go first. */
+/* Class of the lowest rank that is owed a start and has an entry that can be in
+ * time, else 0. Calls that wait go first. */
 static uint32_t find_owed_class(const struct bb_queue *q)
 {
 	if (!q->ranked || q->classes[0].waiting)
 		return 0;
-	for (uint32_t rank = BB_QUEUE_RANKS - 1; rank; rank--)
-		if (q->classes[rank].waiting && is_owed(q, rank))
-			return rank;
+	for (uint32_t c = CLASSES - 1; c > 1; c--)
+		if (q->classes[c].waiting && !is_late_class(c) &&
+		    is_owed(q, class_rank(c)))
+			return c;
 	return 0;
 }
 
@@ -845,8 +849,8 @@
 
 	if (owed)
 		a = next_account_of_class(q, owed, idle, now_us, wake_us);
-	for (uint32_t class = 0; class < CLASSES && !a; class ++)
-		a = next_account_of_class(q, class, idle, now_us, wake_us);
+	for (uint32_t i = 0; i < CLASSES && !a; i++)
+		a = next_account_of_class(q, i, idle, now_us, wake_us);
 	return a;
 }
 
@@ -935,7 +939,7 @@
 static bool move_to_late(struct bb_queue *q, struct bb_queue_entry *e,
 			 int64_t now_us)
 {
-	uint32_t class = e->owner->class + BB_QUEUE_RANKS;
+	uint32_t class = e->owner->class + 1;
 	struct bb_queue_account *a;
 
 	if (is_late_class(e->owner->class) || e->late_us >= e->expires_us)
@@ -991,8 +995,8 @@
 		return q->next_check_us;
 	if (q->ranked)
 		decay_counts(q, now_us);
-	for (uint32_t class = 0; class < CLASSES; class ++) {
-		GList *l = q->classes[class].ring.head;
+	for (size_t i = 0; i < CLASSES; i++) {
+		GList *l = q->classes[i].ring.head;
 
 		while (l) {
 			struct bb_queue_account *a = l->data;
@@ -1019,8 +1023,8 @@
 {
 	size_t n = 0;
 
-	for (uint32_t class = 0; class < CLASSES; class ++) {
-		GQueue *ring = &q->classes[class].ring;
+	for (size_t i = 0; i < CLASSES; i++) {
+		GQueue *ring = &q->classes[i].ring;
 
 		while (ring->head) {
 			struct bb_queue_account *a = ring->head->data;
