Limit: a late answer finds its pool

Cause: the drawer reused the pool of a holder that had not answered yet for the next holder that it asked, so that the late answer found none.

Change: a pool whose draw may still be answered is not reused; it is free again when the answer is no longer expected.

--- a/src/liblimit/drawer.c
+++ b/src/liblimit/drawer.c
@@ -227,6 +227,23 @@
 	return any && ck_pr_load_uint(&d->ranked);
 }
 
+static void forget_late_draw(struct bb_drawer *d, struct pending_draw *pending)
+{
+	for (guint i = 0; i < pending->accounts->len; i++) {
+		struct local_account *a =
+			g_ptr_array_index(pending->accounts, i);
+		struct shard *shard = bb_drawer_shard(d, a->name);
+		struct pool *p;
+
+		lock_shard(shard);
+		p = find_pool_of_draw(a, pending->nonce);
+		if (p)
+			p->late_nonce = 0;
+		unlock_shard(shard);
+	}
+	pending_draw_delete(pending);
+}
+
 static void time_out_draws(struct bb_drawer *d, int64_t now_us)
 {
 	struct pending_draw *pending;
@@ -241,7 +258,7 @@
 	}
 	while ((pending = g_queue_peek_head(&d->late_draws)) &&
 	       now_us - pending->sent_us > LATE_ANSWER_US)
-		pending_draw_delete(g_queue_pop_head(&d->late_draws));
+		forget_late_draw(d, g_queue_pop_head(&d->late_draws));
 }
 
 static void draw_for_due_accounts(struct bb_drawer *d, struct shard *shard,
--- a/src/liblimit/drawer_policy.c
+++ b/src/liblimit/drawer_policy.c
@@ -124,8 +124,8 @@
 			 INT64_MIN;
 }
 
-/* Pool of a holder. If there is none, a pool without tokens or a pending draw
- * is reused; NULL if there is no such pool either. */
+/* Pool of a holder. If there is none, a pool without tokens or a draw that may
+ * be answered is reused; NULL if there is no such pool either. */
 static struct pool *get_pool(struct local_account *a, uint64_t host)
 {
 	struct pool *unused = NULL;
@@ -137,7 +137,7 @@
 			return p;
 		/* Of these, the one whose unavailability ends first: a host is
 		 * asked again at once when its pool is reused. */
-		if (!p->tokens && !p->draw_nonce &&
+		if (!p->tokens && !p->draw_nonce && !p->late_nonce &&
 		    (!unused ||
 		     unavailable_until_us(p) < unavailable_until_us(unused)))
 			unused = p;
--- a/src/test_lib/test_drawer.cc
+++ b/src/test_lib/test_drawer.cc
@@ -2,6 +2,9 @@
 #include <glib.h>
 #include <gtest/gtest.h>
 
+#include <utility>
+#include <vector>
+
 #include "baobabward/clock.h"
 #include "baobabward/lease.h"
 #include "baobabward/limit.h"
@@ -21,8 +24,11 @@
 	bool stopping = false;
 	uint32_t extra_tokens = 0;
 	int64_t returned = 0;
+	// The hosts answer only when answer_late() is called.
+	bool stalled = false;
+	std::vector<std::pair<uint32_t, uint64_t>> unanswered;
 
-	Drawer()
+	explicit Drawer(bool ranked = false)
 	{
 		struct bb_drawer_options o = {};
 
@@ -39,6 +45,7 @@
 		};
 		o.drift_ppm = BB_LEASE_DRIFT_PPM;
 		d = bb_drawer_new(&o);
+		config.policies.rank_order = ranked;
 		bb_drawer_set_config(d, &config, map, now);
 	}
 
@@ -52,6 +59,10 @@
 		struct bb_message m = {};
 		struct bb_draw_grant grant = {};
 
+		if (stalled) {
+			unanswered.emplace_back(host, draw->nonce);
+			return;
+		}
 		// Ends an endless loop of draws before the stack overflows.
 		if (++draws > 1000)
 			return;
@@ -69,6 +80,22 @@
 		bb_drawer_receive(d, host, &m, now);
 	}
 
+	// Grants one token for a draw that was not answered.
+	void answer_late(size_t i)
+	{
+		struct bb_message m = {};
+		struct bb_draw_grant grant = {};
+
+		grant.granted = BB_TOKEN;
+		grant.valid_ms = BB_DRAW_VALID_SHORT_US / BB_US_PER_MS;
+		m.type = BB_MESSAGE_DRAW_GRANT;
+		m.draw_grant.incarnation = 1;
+		m.draw_grant.nonce = unanswered[i].second;
+		m.draw_grant.grants = &grant;
+		m.draw_grant.grants_nr = 1;
+		bb_drawer_receive(d, unanswered[i].first, &m, now);
+	}
+
 	void run(int64_t us)
 	{
 		for (int64_t end = now + us; now < end; now += SECOND_US / 20)
@@ -191,6 +218,71 @@
 	EXPECT_EQ(f.extra_tokens, f.returned);
 }
 
+// Guards against the tokens of a holder that stalls for more than 150 ms, which
+// were dropped with its answer, so that the request was refused after its whole
+// wait.
+TEST(Drawer, UsesTheAnswerOfAStalledHolder)
+{
+	for (bool ranked : { false, true }) {
+		Drawer f(ranked);
+
+		f.stalled = true;
+		ASSERT_EQ(BB_SPEND_WAIT,
+			  bb_drawer_spend(f.d, "a", false, f.now, nullptr));
+		f.run(SECOND_US / 5);
+		bb_drawer_tick(f.d, f.now);
+		ASSERT_LE(1u, f.unanswered.size());
+		f.answer_late(0);
+		EXPECT_EQ(ranked ? BB_SPEND_GRANTED : BB_SPEND_WAIT,
+			  bb_drawer_spend(f.d, "a", true, f.now, nullptr));
+		// A repeated answer grants nothing.
+		f.answer_late(0);
+		EXPECT_EQ(BB_SPEND_WAIT,
+			  bb_drawer_spend(f.d, "a", false, f.now, nullptr));
+	}
+}
+
+// Guards against tokens that are spent twice: those of an answer that is older
+// than the last draw from the same holder, which told the holder that they are
+// not held, and those that are valid no more.
+TEST(Drawer, IgnoresAnswersThatAreTooLate)
+{
+	Drawer f(true);
+
+	f.stalled = true;
+	ASSERT_EQ(BB_SPEND_WAIT,
+		  bb_drawer_spend(f.d, "a", false, f.now, nullptr));
+	// Until the first host is asked again.
+	for (int i = 0; i < 40 && (f.unanswered.size() < 2 ||
+				   f.unanswered.back().first !=
+					   f.unanswered.front().first);
+	     i++)
+		f.run(SECOND_US / 20);
+	ASSERT_EQ(f.unanswered.front().first, f.unanswered.back().first);
+	f.answer_late(0);
+	EXPECT_EQ(BB_SPEND_WAIT,
+		  bb_drawer_spend(f.d, "a", true, f.now, nullptr));
+	f.now += 300 * BB_US_PER_MS;
+	f.answer_late(f.unanswered.size() - 1);
+	EXPECT_EQ(BB_SPEND_WAIT,
+		  bb_drawer_spend(f.d, "a", true, f.now, nullptr));
+}
+
+// Guards against a reserve that is spent on top of the rate: a request that waits
+// for a silent holder while another one has said that the account has spent all.
+TEST(Drawer, EmptyAccountDoesNotUseTheReserve)
+{
+	Drawer f(true);
+
+	EXPECT_TRUE(bb_drawer_may_use_reserve(f.d, "a", f.now));
+	f.retry_ms = 100;
+	ASSERT_EQ(BB_SPEND_WAIT,
+		  bb_drawer_spend(f.d, "a", false, f.now, nullptr));
+	bb_drawer_tick(f.d, f.now);
+	EXPECT_FALSE(bb_drawer_may_use_reserve(f.d, "a", f.now));
+	EXPECT_TRUE(bb_drawer_may_use_reserve(f.d, "a", f.now + SECOND_US));
+}
+
 // Guards against a thread that uses a core while it admits a request and the
 // control thread is held up among the accounts, here where it looks for holders.
 TEST(Drawer, SpendDoesNotSpinWhileTheControlThreadIsHeldUp)
