Queue: the bound of a rank holds over a minute, too

Cause: the bound compared a rank with the average of the last 4 s.

Change: a rank is also owed what it lacks of its bound over 60 s.

--- a/src/libroute/queue.c
+++ b/src/libroute/queue.c
@@ -32,6 +32,10 @@
 /* Time constant of the counts of offered and started requests: some service
  * times, and short beside the length of a burst. */
 #define COUNT_DECAY_US (4 * BB_US_PER_S)
+/* Time constant of the counts for the bound over a longer time: a burst of the
+ * lowest rank is served less often than the others while it lasts, and the bound
+ * holds on average. */
+#define LONG_DECAY_US (60 * BB_US_PER_S)
 /* Odd, so that the classes of an account have different identifiers. */
 #define CLASS_HASH_STEP UINT64_C(0x9e3779b97f4a7c15)
 /* Most starts that a rank can be owed, or be ahead of its bound: what was long ago
@@ -108,6 +112,8 @@
  * @offered: requests that were pushed, also those that were refused
  * @fresh: those of them that were not refused before
  * @started: requests that got a slot
+ * @long_fresh: as @fresh, with the longer time constant
+ * @long_started: as @started, with the longer time constant
  * @owed: starts that the bound grants to the rank and that it has not had, below
  *        0 if it had more; does not decay
  */
@@ -115,6 +121,8 @@
 	double offered;
 	double fresh;
 	double started;
+	double long_fresh;
+	double long_started;
 	double owed;
 };
 
@@ -317,16 +325,20 @@
 
 static void decay_counts(struct bb_queue *q, int64_t now_us)
 {
-	double factor;
+	double us = (double)(now_us - q->counted_us);
+	double factor, long_factor;
 
 	if (now_us <= q->counted_us)
 		return;
-	factor = exp(-(double)(now_us - q->counted_us) / COUNT_DECAY_US);
+	factor = exp(-us / COUNT_DECAY_US);
+	long_factor = exp(-us / LONG_DECAY_US);
 	q->counted_us = now_us;
 	for (size_t i = 0; i < BB_QUEUE_RANKS; i++) {
 		q->counts[i].offered *= factor;
 		q->counts[i].fresh *= factor;
 		q->counts[i].started *= factor;
+		q->counts[i].long_fresh *= long_factor;
+		q->counts[i].long_started *= long_factor;
 	}
 }
 
@@ -338,6 +350,8 @@
 	for (size_t i = 1; i < BB_QUEUE_RANKS; i++) {
 		sum.fresh += q->counts[i].fresh;
 		sum.started += q->counts[i].started;
+		sum.long_fresh += q->counts[i].long_fresh;
+		sum.long_started += q->counts[i].long_started;
 	}
 	return sum;
 }
@@ -346,7 +360,18 @@
  * waiting entries goes before all but calls. */
 static bool is_owed(const struct bb_queue *q, uint32_t rank)
 {
-	return q->ranked && q->counts[rank].owed >= 1;
+	const struct rank_count *c = &q->counts[rank];
+	struct rank_count all;
+	double bound;
+
+	if (!q->ranked || !rank || !c->long_fresh)
+		return false;
+	if (c->owed >= 1)
+		return true;
+	all = sum_counts(q);
+	bound = all.long_started / all.long_fresh * c->long_fresh *
+		BB_QUEUE_FLOOR_PERMILLE / 1000;
+	return c->long_started + 1 <= bound;
 }
 
 /*
@@ -362,6 +387,7 @@
 	if (!rank || e->returned)
 		return;
 	c->fresh += 1;
+	c->long_fresh += 1;
 	all = sum_counts(q);
 	c->owed += all.started / all.fresh * BB_QUEUE_FLOOR_PERMILLE / 1000;
 	c->owed = fmin(c->owed, OWED_MAX);
@@ -370,6 +396,7 @@
 static void count_started(struct bb_queue *q, uint32_t rank)
 {
 	q->counts[rank].started += 1;
+	q->counts[rank].long_started += 1;
 	q->counts[rank].owed = fmax(q->counts[rank].owed - 1, -OWED_MAX);
 }
 
--- a/src/test_lib/test_queue_rank.cc
+++ b/src/test_lib/test_queue_rank.cc
@@ -116,7 +116,8 @@
 		refusals++;
 		if (return_us < 0) {
 			struct bb_load load = bb_queue_load(q, now);
-			struct bb_returns *own = &returns[kinds[r->kind].rank];
+			struct bb_returns *own =
+				&returns[kinds[r->kind].rank % BB_QUEUE_RANKS];
 			struct bb_refusal x = { bb_returns_wait_us(own, &load),
 						left, g_rand_double(rnd) };
 
@@ -188,8 +189,9 @@
 		running.erase(std::find(running.begin(), running.end(), r));
 		r->state = OUT;
 		bb_queue_finish(q, &r->e, true, now);
-		bb_returns_served(&returns[kinds[r->kind].rank],
-				  now - r->e.started_us, now);
+		bb_returns_served(
+			&returns[kinds[r->kind].rank % BB_QUEUE_RANKS],
+			now - r->e.started_us, now);
 		x.served += now <= r->deadline_us;
 		x.in_time += now <= r->target_us;
 	}
@@ -395,6 +397,28 @@
 	}
 }
 
+// Guards against both at once, with calls: an account at several times its rate
+// beside steady ones of its rank, and a burst of the least urgent kind.
+TEST(QueueRank, GreedyAccountAndBurst)
+{
+	replay f({ { 0, 0, 1, 3 * SECOND, 3 * SECOND },
+		   { 2, 1, 12 },
+		   { 2, 2, 2 },
+		   { 2, 3, 2 },
+		   { 5, 4, 30, 8 * SECOND, 25 * SECOND, 20 * SECOND,
+		     40 * SECOND } });
+
+	f.return_us = -1;
+	f.run(60 * SECOND);
+	EXPECT_LE(f.idle_us, 60 * SECOND * 5 / 20);
+	f.end();
+	f.print("greedy account and burst");
+	f.check_ranks();
+	EXPECT_GE(f.results[0].served_share(), 0.98);
+	for (size_t i = 2; i < 4; i++)
+		EXPECT_GE(f.results[i].served_share(), 0.95) << i;
+}
+
 // Guards against calls that are refused while new work is served.
 TEST(QueueRank, CallsGoBeforeNewWork)
 {
@@ -465,3 +489,78 @@
 	EXPECT_LE(refusals[2] * 2, refusals[0]);
 	EXPECT_LE(refusals[2], refusals[1]);
 }
+
+// Guards against an entry that is lost, refused twice or started too late, and
+// against more running requests than slots, while entries move between the
+// classes, ranks are switched on and off, and the queue is full.
+TEST(QueueRank, RandomOperationsKeepCounts)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		replay f({ { 0, 1, 0, 900 * MS, 900 * MS },
+			   { 1, 1, 0, 300 * MS, SECOND },
+			   { 3, 2, 0, 2 * SECOND, 4 * SECOND },
+			   { 12, 3, 0, 600 * MS, 3 * SECOND } },
+			 seed);
+		uint32_t waiting;
+
+		f.o.slots = 4;
+		f.o.max_waiting = 20;
+		f.o.account_max_waiting = 8;
+		f.o.initial_service_us = 50 * MS;
+		f.o.active_period_us = 200 * MS;
+		bb_queue_delete(f.q);
+		f.q = bb_queue_new(&f.o);
+		for (int i = 0; i < 5000; i++) {
+			f.now += g_rand_int_range(f.rnd, 0, 15 * MS);
+			switch (g_rand_int_range(f.rnd, 0, 8)) {
+			case 0:
+			case 1:
+			case 2:
+			case 3:
+				f.push((size_t)g_rand_int_range(f.rnd, 0, 4));
+				break;
+			case 4:
+				f.pop();
+				break;
+			case 5:
+				if (!f.running.empty())
+					f.finish(f.running[0]);
+				break;
+			case 6:
+				EXPECT_GT(bb_queue_expire(f.q, f.now), f.now);
+				break;
+			case 7: {
+				if (f.all.empty())
+					break;
+				request *r =
+					f.all[(size_t)g_rand_int_range(
+						      f.rnd, 0,
+						      (int)f.all.size() + 1) %
+					      f.all.size()]
+						.get();
+
+				if (i % 5 == 0)
+					bb_queue_set_ranked(
+						f.q, g_rand_boolean(f.rnd));
+				if (bb_queue_cancel(f.q, &r->e)) {
+					EXPECT_EQ(WAITING, r->state);
+					r->state = OUT;
+				}
+				break;
+			}
+			}
+			waiting = 0;
+			for (size_t k = f.all.size() > 1000 ?
+						f.all.size() - 1000 :
+						0;
+			     k < f.all.size(); k++)
+				waiting += f.all[k]->state == WAITING;
+			ASSERT_GE(20u, bb_queue_waiting(f.q));
+			ASSERT_EQ(waiting, bb_queue_waiting(f.q));
+			ASSERT_EQ(f.running.size(), bb_queue_running(f.q));
+			ASSERT_GE(4u, bb_queue_running(f.q));
+		}
+		EXPECT_EQ(bb_queue_waiting(f.q),
+			  bb_queue_drain(f.q, BB_REASON_STOPPING));
+	}
+}
