--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -12,6 +12,7 @@
 #include "baobabward/cost.h"
 #include "baobabward/reserve.h"
 #include "baobabward/retry.h"
+#include "baobabward/retry_after.h"
 #include "libnode/entry.h"
 #include "libnode/request_spans.h"
 
@@ -55,6 +56,8 @@
  *                the outcome is stored when the call ends
  * @record_id: id of the query to the record store
  * @last_reason: why the last attempt failed
+ * @last_load: load of the backend server of the last attempt, zeroed if unknown
+ * @token_wait_us: time until a token may be available, if one was refused
  * @has_answer: an earlier attempt was answered with an error, which is passed
  *              on if no later attempt succeeds
  * @spans: trace spans of the call
@@ -80,6 +83,8 @@
 	bool key_recorded;
 	struct bb_request_id record_id;
 	enum bb_reason last_reason;
+	struct bb_load last_load;
+	int64_t token_wait_us;
 	bool has_answer;
 	struct bb_entry_spans spans;
 	GSource *timer;
@@ -103,6 +108,9 @@
  * @retry_budgets: retry budget of each service of the snapshot
  * @cost: model of the expected costs, NULL until the policy asks for it
  * @reserve: reserves of the client accounts
+ * @service_returns: struct bb_returns by service name and priority
+ * @account_returns: struct bb_returns by account name
+ * @random: jitter of Retry-After
  * @last_sequence: sequence number last used by an attempt or record query
  * @token_waiters: attempts that wait for a token, oldest first
  * @hello_retry_timer: sends again the HELLOs that the transport refused
@@ -122,6 +130,9 @@
 	struct bb_retry_budget *retry_budgets;
 	struct bb_cost *cost;
 	struct bb_reserve *reserve;
+	GHashTable *service_returns;
+	GHashTable *account_returns;
+	GRand *random;
 	uint64_t last_sequence;
 	GQueue token_waiters;
 	GSource *hello_retry_timer;
