--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -127,6 +127,13 @@
 	{ "cold_refusals_total", "counter",
 	  "Requests refused because a backend server beside this node is "
 	  "cold." },
+	{ "draws_late_total", "counter",
+	  "Answers to draws that came late and were still used." },
+	{ "queue_displaced_total", "counter",
+	  "Waiting requests refused for one of a higher rank." },
+	{ "queue_late_total", "counter",
+	  "Requests that wait although their answer will come after the target "
+	  "latency." },
 };
 
 static_assert(sizeof(descriptions) / sizeof(*descriptions) == BB_METRIC_COUNT,
