Reports: bookings become trials again one second after the open time

Cause: a server that takes trials reported one slot without a bound in time, so that bookings avoided it as long as it had no lookup; a service with bookings only would have used it as a last resort only.

Change: one slot is reported only in the first second after the open time, in which only idempotent requests are trials. With an open time of 0.8 s at most, any request is admitted 1.8 s after a failure.

--- a/include/baobabward/attempt.h
+++ b/include/baobabward/attempt.h
@@ -110,8 +110,8 @@
  *
  * It is useless if the backend server asks to be avoided, if the request may not
  * wait and no slot is free, or if the backend server takes only trials and the
- * request is not idempotent or has failed before. At most as many attempts are withheld as slot
- * searches or redirects would be made.
+ * request is not idempotent or has failed before. At most twice as many attempts
+ * are withheld as slot searches and redirects would be made.
  *
  * Return: why it is withheld, so that another backend server is to be chosen;
  * BB_REASON_NONE if it is to be sent.
--- a/include/baobabward/breaker.h
+++ b/include/baobabward/breaker.h
@@ -107,8 +107,8 @@
 int64_t bb_breaker_open_us(const struct bb_breaker *b, int64_t now_us);
 
 /**
- * bb_breaker_takes_trials() - whether the open time is over, so that one request
- * at a time is admitted.
+ * bb_breaker_takes_trials() - whether one idempotent request at a time is
+ * admitted, but no other.
  */
 bool bb_breaker_takes_trials(const struct bb_breaker *b, int64_t now_us);
 
--- a/src/libhealth/breaker.c
+++ b/src/libhealth/breaker.c
@@ -22,7 +22,7 @@
  * pool at 85% of its capacity had three times as many late requests.
  */
 #define REPORTED_OPEN_MAX_US (800 * BB_US_PER_MS)
-#define REPORTED_IDEMPOTENT_ONLY_US (400 * BB_US_PER_MS)
+#define REPORTED_IDEMPOTENT_ONLY_US (1000 * BB_US_PER_MS)
 /* Time for which requests go elsewhere while a trial runs. */
 #define TRIAL_HINT_US (100 * BB_US_PER_MS)
 /* Time since the last failure within which a new failure belongs to the same
@@ -127,5 +127,6 @@
 
 bool bb_breaker_takes_trials(const struct bb_breaker *b, int64_t now_us)
 {
-	return b->failures && now_us >= b->open_until_us;
+	return b->failures && now_us >= b->open_until_us &&
+	       is_idempotent_only(b, now_us);
 }
