Tests: processor time of a thread is awaited, not assumed

Cause: Rounds.ProcessorTimeIsTheThreadsOwn let a thread spin for 0.5 s and asked for more than 0.1 s of processor time; at a load of 29 on 7 cores it got 0.08 s.

Change: the test waits until the thread's own clock shows 0.2 s; the check is the same.

--- a/src/test_lib/test_rounds.cc
+++ b/src/test_lib/test_rounds.cc
@@ -155,9 +155,17 @@
 	});
 	const char *line, *name = "baobabward_thread_cpu_seconds_total"
 				  "{thread=\"busy__lib_\"} ";
+	struct timespec used = {};
+	clockid_t clock;
 	char *text;
 
-	usleep(500000);
+	// On a busy machine the thread gets a small part of a core.
+	ASSERT_EQ(0,
+		  pthread_getcpuclockid(busy_thread.native_handle(), &clock));
+	while (!used.tv_sec && used.tv_nsec < 200000000) {
+		usleep(10000);
+		ASSERT_EQ(0, clock_gettime(clock, &used));
+	}
 	text = bb_metrics_text();
 	stop = true;
 	busy_thread.join();
