--- a/include/baobabward/breaker.h
+++ b/include/baobabward/breaker.h
@@ -15,7 +15,7 @@
  * Where nodes report the state of their backend servers (@reported), only
  * requests that can be sent again serve as trials at first, entry nodes are told
  * while a trial runs, and a breaker that closed by a trial that succeeded by
- * chance goes on with the open time that it had reached.
+ * chance starts again with the open time that it had reached.
  *
  * No I/O and no locks; a breaker is used by one thread. Times are microseconds
  * of the caller's monotonic clock.
