Tests: crowds of hostile callers

Callers that send large bodies and stop one byte short of the end made a process run out of memory. caller_crowd simulates them: 400 callers of two accounts and four addresses, 90% of which stop short; who is refused or loses its connection comes back. Three scripts check that the processes live, their memory and descriptors stay under a bound, a booking of 1 KB is served while the crowd stays, and a request after it has left. They check no times and no shares. On builds with sanitizers the memory is printed as not checked.

--- /dev/null
+++ b/src/test_e2e/crowd.sh
@@ -0,0 +1,99 @@
+# Crowds of hostile callers and bounds on the nodes, for the tests
+# test_crowd_*.sh, which source this file first. It restarts the test under a time
+# limit of its own.
+#
+# The checks hold on a machine of any speed: the process lives, its memory and
+# open descriptors stay under a bound, and ordinary requests are served. None
+# concerns times or shares of served requests.
+crowd_time_limit_s=270
+if [ -z "${crowd_is_limited:-}" ]; then
+	export crowd_is_limited=1
+	exec timeout "$crowd_time_limit_s" bash "$0" "$@"
+fi
+. src/test_e2e/fleet.sh
+
+# Bodies of legal size in these tests have up to 1 MiB.
+fleet_max_body_bytes=1048576
+# So long that a caller that stops short is not ended by it.
+fleet_timeout_ms=60000
+crowd_callers=400
+# Both accounts and several client addresses take part.
+crowd_flags="--callers $crowd_callers --key key-one --key key-two --sources 4"
+crowd_flags+=" --limit-s $crowd_time_limit_s"
+
+# Sanitizers add to the memory of a process.
+crowd_has_sanitizer() {
+	grep -qa "__asan_init\|__tsan_init" "$build/baobabd"
+}
+
+crowd_memory_kb() { # host number, field of /proc/PID/status
+	sed -n "s/^$2:[^0-9]*\([0-9]*\) kB/\1/p" \
+		"/proc/${fleet_pid[host$1]}/status"
+}
+
+crowd_expect_at_most() { # what, bound, actual
+	echo "$1: $3 (bound $2)"
+	expect "$1" within "$([ "${3:-0}" -le "$2" ] && echo within || echo over)"
+}
+
+crowd_has_settled() {
+	kill -0 "${fleet_pid[crowd]}" 2>/dev/null || return 0
+	grep -q ^settled "$fleet_dir/crowd.log"
+}
+
+# crowd_expect_bounds WHAT MEMORY_MB: checks all nodes. The bound on descriptors
+# is the callers and 100 for the node itself.
+crowd_expect_bounds() {
+	local i
+	for ((i = 0; i < fleet_nodes; i++)); do
+		expect "$1: host$i lives" yes \
+			"$(kill -0 "${fleet_pid[host$i]}" && echo yes)"
+		crowd_expect_at_most "$1: descriptors of host$i" \
+			$((crowd_callers + 100)) \
+			"$(ls "/proc/${fleet_pid[host$i]}/fd" | wc -l)"
+		if crowd_has_sanitizer; then
+			echo "$1: memory is not checked with sanitizers"
+			continue
+		fi
+		echo "$1: VmRSS of host$i now: $(crowd_memory_kb "$i" VmRSS) kB"
+		crowd_expect_at_most "$1: peak memory of host$i in kB" \
+			$(($2 * 1024)) "$(crowd_memory_kb "$i" VmHWM)"
+	done
+}
+
+# crowd_run WHAT MEMORY_MB [flags of caller_crowd]: starts new nodes, lets the
+# crowd come, and sends an ordinary booking while it stays and an ordinary
+# request after it has left.
+crowd_run() {
+	local what=$1 memory_mb=$2
+	shift 2
+	crowd_number=$((${crowd_number:-0} + 1))
+	fleet_start 2 2 || exit 1
+	head -c 1024 /dev/zero | tr '\0' x >"$fleet_dir/booking"
+	: >"$fleet_dir/crowd.log"
+	# shellcheck disable=SC2086
+	"$build/caller_crowd" --address "$fleet_address" \
+		--port "$(fleet_port 0)" $crowd_flags "$@" \
+		>"$fleet_dir/crowd.log" &
+	fleet_pid[crowd]=$!
+	fleet_wait_for "$what: the crowd has settled" crowd_has_settled
+	expect "$what: booking of 1 KB while the crowd stays" "200 ran" \
+		"$(fleet_call 0 POST /orders "while-$crowd_number" \
+			--data-binary "@$fleet_dir/booking")"
+	expect "$what: it ran once" 1 "$(fleet_executions "while-$crowd_number")"
+	expect "$what: the crowd stayed" yes \
+		"$(kill -0 "${fleet_pid[crowd]}" && echo yes)"
+	crowd_expect_bounds "$what" "$memory_mb"
+	fleet_kill crowd TERM
+	sed "s/^/$what: crowd: /" "$fleet_dir/crowd.log"
+	expect "$what: request after the crowd" "200 ran" \
+		"$(fleet_call 0 GET /profiles/7 "after-$crowd_number")"
+	crowd_stop_fleet
+}
+
+crowd_stop_fleet() {
+	local name
+	for name in "${!fleet_pid[@]}"; do
+		fleet_kill "$name" TERM
+	done
+}
--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -82,7 +82,7 @@
 "backends":[${backends%,}],
 "routes":[
 {"name":"book","path_prefix":"/orders","methods":["POST"],"service":"orders",
-"idempotent":false,"access":"open","max_body_bytes":65536,
+"idempotent":false,"access":"open","max_body_bytes":${fleet_max_body_bytes:-65536},
 "timeout_ms":${fleet_timeout_ms:-2000}},
 {"name":"lookup","path_prefix":"/profiles","methods":["GET"],
 "service":"orders","idempotent":true,"access":"open","max_body_bytes":65536,
