--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -301,6 +301,7 @@
 
 	struct bb_body_memory *memory_ = nullptr;
 	int64_t stall_us_ = 60000000;
+	std::string answer_ = "done";
 	bool current_ = true;
 	bool full_ = false;
 	const struct bb_dialect *dialect_ = nullptr;
@@ -322,7 +323,7 @@
 	static bool submit(void *data, struct bb_call *c)
 	{
 		auto *self = static_cast<Front *>(data);
-		struct bb_bytes body = { "done", 4 };
+		struct bb_bytes body = bytes(self->answer_);
 		Submitted s;
 
 		if (self->full_)
@@ -671,6 +672,141 @@
 	EXPECT_EQ("200 ran", ask("POST /book", KEY, large));
 }
 
+namespace
+{
+// With bodies that count as stalled after 1 ms without progress.
+class FrontStall : public Front
+{
+      protected:
+	FrontStall()
+	{
+		stall_us_ = 1000;
+	}
+
+	// Takes the connection in use, so that the next request opens another.
+	int keep()
+	{
+		int fd = fd_;
+
+		fd_ = -1;
+		return fd;
+	}
+
+	int connect_only()
+	{
+		struct sockaddr_in a = {};
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		a.sin_port = htons(bb_front_port(front_));
+		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&a, sizeof(a)));
+		return fd;
+	}
+
+	// The head and all but the last byte of a body of 40,000 bytes.
+	int stop_short()
+	{
+		std::string text =
+			request("POST /book", KEY, std::string(40000, 'x'));
+		int fd = connect_only();
+
+		EXPECT_EQ((ssize_t)text.size() - 1,
+			  send(fd, text.data(), text.size() - 1, 0));
+		while (used() < 40000)
+			g_usleep(1000);
+		g_usleep(20000);
+		return fd;
+	}
+
+	uint64_t used()
+	{
+		struct bb_body_memory_use use;
+
+		bb_body_memory_use(memory_, &use);
+		return use.stages[BB_BODY_RECEIVED] +
+		       use.stages[BB_BODY_RESPONSE];
+	}
+};
+} // namespace
+
+// Guards against a caller that stops short and keeps others out, and against a
+// request that runs although its body was dropped.
+TEST_F(FrontStall, StalledBodyGivesWayAndDoesNotRun)
+{
+	int held = stop_short();
+
+	EXPECT_EQ("200 ran", ask("POST /book", KEY, std::string(40000, 'y')));
+	EXPECT_EQ(std::string(40000, 'y'), last().body);
+	close(keep());
+	fd_ = held;
+	EXPECT_EQ("503 not-run", status(send_raw("x")));
+	EXPECT_EQ(1u, submitted());
+}
+
+// Guards against a body that is dropped although there is room.
+TEST_F(FrontStall, StalledBodyStaysInCalm)
+{
+	int held = stop_short();
+
+	EXPECT_EQ("200 ran", ask("POST /book", KEY, "small"));
+	close(keep());
+	fd_ = held;
+	EXPECT_EQ("200 ran", status(send_raw("x")));
+	EXPECT_EQ(std::string(40000, 'x'), last().body);
+	close(keep());
+	while (bb_front_requests(front_))
+		g_usleep(1000);
+	EXPECT_EQ(0u, used());
+}
+
+// Guards against responses that wait for callers which do not read, and against
+// one that is damaged because it is passed on in blocks.
+TEST_F(FrontStall, ResponseToAStalledCallerGivesWay)
+{
+	const std::string head = request("GET /book", KEY, "");
+	struct bb_body_memory_use use;
+	std::string answer;
+	int held;
+
+	answer_.resize(8 << 20);
+	for (size_t i = 0; i < answer_.size(); i++)
+		answer_[i] = (char)('a' + i % 23);
+	answer = send_raw(head);
+	EXPECT_EQ(answer_, answer.substr(answer.find("\r\n\r\n") + 4));
+	close(keep());
+	while (bb_front_requests(front_))
+		g_usleep(1000);
+	held = connect_only();
+	EXPECT_EQ((ssize_t)head.size(),
+		  send(held, head.data(), head.size(), 0));
+	while (used() < answer_.size())
+		g_usleep(1000);
+	g_usleep(50000);
+	answer_ = "done";
+	EXPECT_EQ("200 ran", ask("POST /book", KEY, std::string(20000, 'x')));
+	EXPECT_EQ("200 ran", ask("POST /book", KEY, std::string(20000, 'x')));
+	bb_body_memory_use(memory_, &use);
+	EXPECT_EQ(0u, use.stages[BB_BODY_RESPONSE] > 8000000);
+	close(held);
+}
+
+// Guards against memory that a refused body in chunks keeps.
+TEST_F(Front, RefusedChunksAreFreed)
+{
+	std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+	std::string text = "POST /book HTTP/1.1\r\nHost: h\r\n" + KEY +
+			   "Transfer-Encoding: chunked\r\n\r\n";
+	struct bb_body_memory_use use;
+
+	for (int i = 0; i < 20; i++)
+		text += chunk;
+	EXPECT_EQ("413 not-run", status(send_raw(text + "0\r\n\r\n")));
+	bb_body_memory_use(memory_, &use);
+	EXPECT_EQ(0u, use.stages[BB_BODY_RECEIVED]);
+	EXPECT_EQ(0u, submitted());
+}
+
 // Guards against a different request with the same idempotency key that is
 // taken for a repetition of the first.
 TEST_F(Front, FingerprintCoversTheRequest)
