--- a/include/baobabward/body_memory.h
+++ b/include/baobabward/body_memory.h
@@ -48,6 +48,9 @@
  */
 #define BB_BODY_PROGRESS_BYTES UINT64_C(4096)
 
+/* Largest number of claims reported by one call of bb_body_memory_tick(). */
+#define BB_BODY_TICK_MAX 64
+
 /**
  * enum bb_body_stage - where the body of a claim is.
  * @BB_BODY_RECEIVED: request body, received from a caller
@@ -75,6 +78,7 @@
  * @may_give_way: the body is incomplete, or a response in progress
  * @pinned: its owner is using the memory, which stays until it has unpinned it
  * @gave_way: the memory was taken away
+ * @visited_us: when bb_body_memory_tick() last looked at it, 0 for never
  * @prev: neighbour in the list of all claims
  * @next: neighbour in the list of all claims
  * @listed: the claim is in that list
@@ -91,6 +95,7 @@
 	bool may_give_way;
 	bool pinned;
 	bool gave_way;
+	int64_t visited_us;
 	struct bb_body_claim *prev;
 	struct bb_body_claim *next;
 	bool listed;
@@ -102,12 +107,15 @@
  * @stall_us: time without progress after which a body may give way
  * @give_way: frees the memory of a claim, which belongs to the calling thread
  *            then; called with the accounting locked, on any thread
- * @data: passed to @give_way
+ * @stalled: called by bb_body_memory_tick() for a claim without progress, with the
+ *           accounting locked; may be NULL
+ * @data: passed to @give_way and @stalled
  */
 struct bb_body_memory_options {
 	uint64_t limit;
 	int64_t stall_us;
 	void (*give_way)(void *data, struct bb_body_claim *c);
+	void (*stalled)(void *data, struct bb_body_claim *c);
 	void *data;
 };
 
@@ -208,6 +216,17 @@
  */
 void bb_body_claim_end(struct bb_body_memory *m, struct bb_body_claim *c);
 
+/**
+ * bb_body_memory_tick() - report claims without progress.
+ * @m: accounting, may be NULL
+ * @now_us: current time
+ *
+ * Each claim that is not pinned and has made no progress for the time of a stall,
+ * also one of 0 bytes, is reported once in that time. A call reports at most
+ * BB_BODY_TICK_MAX claims, so that other threads do not wait long.
+ */
+void bb_body_memory_tick(struct bb_body_memory *m, int64_t now_us);
+
 /**
  * bb_body_memory_use() - what the claims take.
  * @m: accounting
--- a/src/libcore/body_memory.c
+++ b/src/libcore/body_memory.c
@@ -186,11 +186,16 @@
 	       (!u->address || u->address + bytes <= share);
 }
 
+static bool is_still(const struct bb_body_memory *m,
+		     const struct bb_body_claim *c, int64_t now_us)
+{
+	return !c->pinned && now_us - c->moved_us >= m->o.stall_us;
+}
+
 static bool is_stalled(const struct bb_body_memory *m,
 		       const struct bb_body_claim *c, int64_t now_us)
 {
-	return c->may_give_way && !c->pinned && c->bytes &&
-	       now_us - c->moved_us >= m->o.stall_us;
+	return c->may_give_way && c->bytes && is_still(m, c, now_us);
 }
 
 /* Request bodies before responses, then by the time without progress. */
@@ -380,6 +385,25 @@
 	*c = (struct bb_body_claim){ 0 };
 }
 
+void bb_body_memory_tick(struct bb_body_memory *m, int64_t now_us)
+{
+	int nr = 0;
+
+	if (!m || !m->o.stalled)
+		return;
+	pthread_mutex_lock(&m->lock);
+	for (struct bb_body_claim *c = m->claims; c && nr < BB_BODY_TICK_MAX;
+	     c = c->next) {
+		if (!is_still(m, c, now_us) ||
+		    now_us - c->visited_us < m->o.stall_us)
+			continue;
+		c->visited_us = now_us;
+		m->o.stalled(m->o.data, c);
+		nr++;
+	}
+	pthread_mutex_unlock(&m->lock);
+}
+
 void bb_body_memory_use(struct bb_body_memory *m,
 			struct bb_body_memory_use *use)
 {
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -128,12 +128,51 @@
 				    bb_clock_now_us());
 }
 
+static struct bb_call *claim_call(struct bb_body_claim *claim)
+{
+	return (struct bb_call *)(void *)((char *)claim -
+					  offsetof(struct bb_call, memory));
+}
+
+/*
+ * Descriptor of the connection of a listed claim, -1 if there is none. To be used
+ * with the accounting locked: libmicrohttpd closes the descriptor only after
+ * on_completed(), which ends the claim and so waits for the lock.
+ */
+static int claim_fd(const struct bb_call *c)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		c->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info ? info->connect_fd : -1;
+}
+
+static void shut_down(int fd)
+{
+	if (shutdown(fd, SHUT_RDWR))
+		bb_log_debug(BB_LOG_FRONT,
+			     "cannot shut down a caller's connection: %s",
+			     g_strerror(errno));
+}
+
+void bb_front_stalled(void *data, struct bb_body_claim *claim)
+{
+	int fd = claim_fd(claim_call(claim));
+	char byte;
+
+	(void)data;
+	/*
+	 * 0 is the end of the connection, with no byte before it. A caller that
+	 * has sent its request may have closed this direction only.
+	 */
+	if (fd >= 0 && claim->stage == BB_BODY_RECEIVED &&
+	    !recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT))
+		shut_down(fd);
+}
+
 void bb_front_give_way(void *data, struct bb_body_claim *claim)
 {
-	struct bb_call *c =
-		(struct bb_call *)(void *)((char *)claim -
-					   offsetof(struct bb_call, memory));
-	const union MHD_ConnectionInfo *info;
+	struct bb_call *c = claim_call(claim);
 
 	(void)data;
 	bb_log_event(BB_LOG_FRONT, G_LOG_LEVEL_INFO, c->id, "body_gave_way",
@@ -148,16 +187,7 @@
 	}
 	g_byte_array_unref(c->answer.body);
 	c->answer.body = NULL;
-	/*
-	 * libmicrohttpd closes the socket only after on_completed(), which ends
-	 * the claim and so waits for this function.
-	 */
-	info = MHD_get_connection_info(c->connection,
-				       MHD_CONNECTION_INFO_CONNECTION_FD);
-	if (info && shutdown(info->connect_fd, SHUT_RDWR))
-		bb_log_debug(BB_LOG_FRONT,
-			     "cannot shut down a caller's connection: %s",
-			     g_strerror(errno));
+	shut_down(claim_fd(c));
 }
 
 /* The call has no body, or its answer is set, so that the body is not needed. */
@@ -200,16 +230,16 @@
  */
 static bool claim_declared(struct bb_front *f, struct bb_call *c)
 {
+	bool ok;
+
 	c->declared_size = declared_length(c);
 	bb_body_claim_begin(f->o.memory, &c->memory, BB_BODY_RECEIVED,
 			    account_hash(c), address_hash(c->connection),
 			    bb_clock_now_us());
-	if (!resize_claim(f, c, c->declared_size)) {
-		bb_body_claim_end(f->o.memory, &c->memory);
-		return false;
-	}
+	ok = resize_claim(f, c, c->declared_size);
+	/* A refused claim stays listed, for bb_front_stalled(). */
 	bb_body_claim_moved(f->o.memory, &c->memory, 0, bb_clock_now_us());
-	return true;
+	return ok;
 }
 
 static enum MHD_Result begin_request(struct bb_front *f, struct bb_call *c,
@@ -272,22 +302,41 @@
 	return true;
 }
 
+/* Frees the body of a request that is refused while it is being received. The
+ * claim stays listed, for bb_front_stalled(). */
+static void empty_body(struct bb_front *f, struct bb_call *c)
+{
+	int64_t now_us = bb_clock_now_us();
+
+	bb_body_claim_pin(f->o.memory, &c->memory);
+	bb_call_free_upload(c);
+	bb_body_claim_resize(f->o.memory, &c->memory, 0, now_us);
+	bb_body_claim_moved(f->o.memory, &c->memory, 0, now_us);
+}
+
+/* Return: BB_REASON_NONE, or why the request is refused. */
+static enum bb_reason take_piece(struct bb_front *f, struct bb_call *c,
+				 const char *data, size_t size)
+{
+	if (!bb_body_claim_pin(f->o.memory, &c->memory))
+		return BB_REASON_BODY_MEMORY;
+	if (c->upload_size + size > bb_call_route(c)->max_body_bytes)
+		return BB_REASON_BODY_TOO_LARGE;
+	return append_upload(f, c, data, size) ? BB_REASON_NONE :
+						 BB_REASON_BODY_MEMORY;
+}
+
 static enum MHD_Result receive_body(struct bb_front *f, struct bb_call *c,
 				    const char *data, size_t *size)
 {
-	enum bb_reason reason = BB_REASON_NONE;
+	enum bb_reason reason;
 
 	if (c->answer.reason)
 		return discard_body(c, size);
-	if (!bb_body_claim_pin(f->o.memory, &c->memory))
-		reason = BB_REASON_BODY_MEMORY;
-	else if (c->upload_size + *size > bb_call_route(c)->max_body_bytes)
-		reason = BB_REASON_BODY_TOO_LARGE;
-	else if (!append_upload(f, c, data, *size))
-		reason = BB_REASON_BODY_MEMORY;
+	reason = take_piece(f, c, data, *size);
 	if (reason) {
 		bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, 0);
-		release_body(f, c);
+		empty_body(f, c);
 		return discard_body(c, size);
 	}
 	*size = 0;
--- a/src/libnode/front.h
+++ b/src/libnode/front.h
@@ -68,6 +68,18 @@
  */
 void bb_front_give_way(void *data, struct bb_body_claim *c);
 
+/**
+ * bb_front_stalled() - close the connection of a request body that cannot be
+ * completed because its caller is gone.
+ * @data: not used
+ * @c: claim of a call
+ *
+ * libmicrohttpd 0.9.75 may miss that a caller closed its connection: epoll tells
+ * it once, and after a read of less than it asked for it waits for the next event.
+ * Such a connection stays until the idle time-out, and so does a drain.
+ */
+void bb_front_stalled(void *data, struct bb_body_claim *c);
+
 /**
  * bb_front_new() - create a front; it does not listen yet.
  */
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -316,6 +316,7 @@
 
 	publish_in_progress(t);
 	bb_entry_tick(t->entry, bb_clock_now_us());
+	bb_body_memory_tick(t->o.memory, bb_clock_now_us());
 	bb_transport_close_idle(bb_endpoint_transport(t->endpoint),
 				bb_clock_now_us(), PEER_IDLE_MAX_US);
 	return G_SOURCE_CONTINUE;
--- a/src/test_lib/test_body_memory.cc
+++ b/src/test_lib/test_body_memory.cc
@@ -259,6 +259,43 @@
 	EXPECT_EQ(1u, gone_.size());
 }
 
+// Guards against a stalled claim that is not reported, also if it is empty, or
+// more often than once in the time of a stall, and against a report of one whose
+// thread uses it.
+TEST(BodyMemoryTick, ReportsStalledClaims)
+{
+	struct bb_body_memory_options o = {};
+	std::vector<struct bb_body_claim *> seen;
+	std::deque<struct bb_body_claim> claims(100);
+	struct bb_body_memory *m;
+	int64_t now_us = 5000000;
+
+	o.limit = 32 * MB;
+	o.stall_us = STALL_US;
+	o.stalled = [](void *data, struct bb_body_claim *c) {
+		static_cast<decltype(seen) *>(data)->push_back(c);
+	};
+	o.data = &seen;
+	m = bb_body_memory_new(&o);
+	for (struct bb_body_claim &c : claims) {
+		bb_body_claim_begin(m, &c, BB_BODY_RECEIVED, 0, 0, now_us);
+		bb_body_claim_moved(m, &c, 0, now_us);
+	}
+	bb_body_claim_pin(m, &claims[0]);
+	bb_body_memory_tick(m, now_us + STALL_US - 1);
+	EXPECT_EQ(0u, seen.size());
+	bb_body_memory_tick(m, now_us + STALL_US);
+	EXPECT_EQ((size_t)BB_BODY_TICK_MAX, seen.size());
+	bb_body_memory_tick(m, now_us + STALL_US + 1);
+	bb_body_memory_tick(m, now_us + STALL_US + 2);
+	EXPECT_EQ(99u, seen.size());
+	bb_body_memory_tick(m, now_us + 2 * STALL_US + 2);
+	EXPECT_EQ(99u + BB_BODY_TICK_MAX, seen.size());
+	for (struct bb_body_claim &c : claims)
+		bb_body_claim_end(m, &c);
+	bb_body_memory_delete(m);
+}
+
 // Guards against claims that are counted twice or not at all.
 TEST_F(BodyMemory, ResizeAndEndKeepTheSums)
 {
