Body memory: a body that this process has not read yet does not give way

A request refused for body memory by an adjacent node was never tried elsewhere.

Change: a body with bytes waiting in its socket stays. The refusal body-memory is retried as one of a full queue is: charged, and once.

--- a/include/baobabward/body_memory.h
+++ b/include/baobabward/body_memory.h
@@ -107,14 +107,18 @@
  * @stall_us: time without progress after which a body may give way
  * @give_way: frees the memory of a claim, which belongs to the calling thread
  *            then; called with the accounting locked, on any thread
+ * @has_input: whether bytes of a body wait to be read: then not its caller but
+ *             this process makes no progress, and it does not give way; called with
+ *             the accounting locked; may be NULL
  * @stalled: called by bb_body_memory_tick() for a claim without progress, with the
  *           accounting locked; may be NULL
- * @data: passed to @give_way and @stalled
+ * @data: passed to the callbacks
  */
 struct bb_body_memory_options {
 	uint64_t limit;
 	int64_t stall_us;
 	void (*give_way)(void *data, struct bb_body_claim *c);
+	bool (*has_input)(void *data, struct bb_body_claim *c);
 	void (*stalled)(void *data, struct bb_body_claim *c);
 	void *data;
 };
--- a/src/libcore/body_memory.c
+++ b/src/libcore/body_memory.c
@@ -267,7 +267,8 @@
 	for (guint i = 0; i < all->len && !ok; i++) {
 		struct bb_body_claim *other = g_ptr_array_index(all, i);
 
-		if (!helps(m, c, bytes, u, other))
+		if (!helps(m, c, bytes, u, other) ||
+		    (m->o.has_input && m->o.has_input(m->o.data, other)))
 			continue;
 		remove_from(u, c, other);
 		all->pdata[chosen++] = other;
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -155,6 +155,16 @@
 			     g_strerror(errno));
 }
 
+bool bb_front_has_input(void *data, struct bb_body_claim *claim)
+{
+	int fd = claim_fd(claim_call(claim));
+	char byte;
+
+	(void)data;
+	return claim->stage == BB_BODY_RECEIVED && fd >= 0 &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void bb_front_stalled(void *data, struct bb_body_claim *claim)
 {
 	int fd = claim_fd(claim_call(claim));
--- a/src/libnode/front.h
+++ b/src/libnode/front.h
@@ -68,6 +68,13 @@
  */
 void bb_front_give_way(void *data, struct bb_body_claim *c);
 
+/**
+ * bb_front_has_input() - whether bytes of a request body wait to be read.
+ * @data: not used
+ * @c: claim of a call
+ */
+bool bb_front_has_input(void *data, struct bb_body_claim *c);
+
 /**
  * bb_front_stalled() - close the connection of a request body that cannot be
  * completed because its caller is gone.
--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -263,6 +263,7 @@
 		.limit = (uint64_t)s->body_memory_mb << 20,
 		.stall_us = s->body_stall_ms * BB_US_PER_MS,
 		.give_way = bb_front_give_way,
+		.has_input = bb_front_has_input,
 		.stalled = bb_front_stalled,
 	};
 
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -145,6 +145,7 @@
 	case BB_REASON_PEER_SILENT:
 		return BB_RETRY_CHARGED;
 	case BB_REASON_QUEUE_FULL:
+	case BB_REASON_BODY_MEMORY:
 		return BB_RETRY_OVERLOAD;
 	default:
 		return BB_RETRY_NEVER;
--- a/src/test_lib/test_body_memory.cc
+++ b/src/test_lib/test_body_memory.cc
@@ -23,6 +23,9 @@
 		o.give_way = [](void *data, struct bb_body_claim *c) {
 			static_cast<BodyMemory *>(data)->gone_.push_back(c);
 		};
+		o.has_input = [](void *data, struct bb_body_claim *c) {
+			return static_cast<BodyMemory *>(data)->unread_ == c;
+		};
 		o.data = this;
 		memory_ = bb_body_memory_new(&o);
 	}
@@ -98,6 +101,7 @@
 	struct bb_body_memory *memory_;
 	std::deque<struct bb_body_claim> claims_;
 	std::vector<struct bb_body_claim *> gone_;
+	struct bb_body_claim *unread_ = nullptr;
 	int64_t now_us_ = 5000000;
 };
 } // namespace
@@ -147,6 +151,20 @@
 	EXPECT_TRUE(receive(4 * MB));
 }
 
+// Guards against a body that is dropped because this process was paused and has
+// not read what its caller has sent.
+TEST_F(BodyMemory, UnreadBodyStays)
+{
+	struct bb_body_claim *first = receive(8 * MB);
+	struct bb_body_claim *second = receive(7 * MB);
+
+	now_us_ += STALL_US;
+	unread_ = first;
+	EXPECT_TRUE(receive(4 * MB));
+	ASSERT_EQ(1u, gone_.size());
+	EXPECT_EQ(second, gone_[0]);
+}
+
 // Guards against callers that keep memory by a few bytes now and then.
 TEST_F(BodyMemory, TricklingBodyCountsAsStalled)
 {
