--- a/src/test_e2e/crowd.sh
+++ b/src/test_e2e/crowd.sh
@@ -73,6 +73,7 @@
 	fleet_flags="--freshness-ms 10000 ${fleet_flags:-}"
 	fleet_start 2 2 || exit 1
 	head -c 1024 /dev/zero | tr '\0' x >"$fleet_dir/booking"
+	head -c 1048576 /dev/zero | tr '\0' x >"$fleet_dir/large"
 	: >"$fleet_dir/crowd.log"
 	# shellcheck disable=SC2086
 	"$build/caller_crowd" --address "$fleet_address" \
@@ -91,9 +92,16 @@
 	sed "s/^/$what: crowd: /" "$fleet_dir/crowd.log"
 	expect "$what: request after the crowd" "200 ran" \
 		"$(fleet_call 0 GET /profiles/7 "after-$crowd_number")"
+	fleet_wait_for "$what: body of 1 MiB after the crowd" crowd_serves_large
 	crowd_stop_fleet
 }
 
+# The node may learn some time after the crowd has left that it is gone.
+crowd_serves_large() {
+	[ "$(fleet_call 0 POST /orders "large-$crowd_number-$RANDOM" \
+		-H "Expect:" --data-binary "@$fleet_dir/large")" = "200 ran" ]
+}
+
 crowd_stop_fleet() {
 	local name
 	for name in "${!fleet_pid[@]}"; do
