--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "baobabward/body_memory.h"
 #include "baobabward/dialect.h"
 #include "baobabward/transport.h"
 #include "baobabward/wire.h"
@@ -46,6 +47,7 @@
  * @notices: what backend servers said of themselves, NULL if they say nothing
  * @breaker: redirect requests away from backend servers whose circuit breaker
  *           is open
+ * @memory: accounting of the memory of bodies, NULL for none
  * @booking_wait_us: longest wait of a non-idempotent request in the queue
  * @attempt_percent: percentage of the time left that entry nodes give an attempt
  *                   of an idempotent request, 0 for all of it
@@ -62,6 +64,7 @@
 	const struct bb_dialect *dialect;
 	struct bb_notices *notices;
 	bool breaker;
+	struct bb_body_memory *memory;
 	int64_t booking_wait_us;
 	uint32_t attempt_percent;
 };
