--- a/include/baobabward/breaker.h
+++ b/include/baobabward/breaker.h
@@ -15,7 +15,7 @@
  * Where nodes report the state of their backend servers (@reported), only
  * requests that can be sent again serve as trials at first, entry nodes are told
  * while a trial runs, and a breaker that closed by a trial that succeeded by
- * chance goes on with the open time that it had reached.
+ * chance starts again with the open time that it had reached.
  *
  * No I/O and no locks; a breaker is used by one thread. Times are microseconds
  * of the caller's monotonic clock.
@@ -107,8 +107,8 @@
 int64_t bb_breaker_open_us(const struct bb_breaker *b, int64_t now_us);
 
 /**
- * bb_breaker_takes_trials() - whether the open time is over, so that one request
- * at a time is admitted.
+ * bb_breaker_takes_trials() - whether one idempotent request at a time is
+ * admitted, but no other.
  */
 bool bb_breaker_takes_trials(const struct bb_breaker *b, int64_t now_us);
 
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -441,6 +441,7 @@
 	publish_in_progress(t);
 	send_reports(t);
 	bb_entry_tick(t->entry, bb_clock_now_us());
+	bb_body_memory_tick(t->o.memory, bb_clock_now_us());
 	bb_transport_close_idle(bb_endpoint_transport(t->endpoint),
 				bb_clock_now_us(), PEER_IDLE_MAX_US);
 	return G_SOURCE_CONTINUE;
@@ -474,6 +475,7 @@
 		.curve_secret_key = t->o.settings->curve_secret,
 		.bytes_in_metric = BB_METRIC_PEER_BYTES_IN,
 		.bytes_out_metric = BB_METRIC_PEER_BYTES_OUT,
+		.memory = t->o.memory,
 	};
 	struct bb_adjacent_options ao = {
 		.context = t->context,
@@ -485,6 +487,7 @@
 		.tracer = t->o.tracer,
 		.dialect = t->o.dialect,
 		.breaker = s->breaker,
+		.memory = t->o.memory,
 		.booking_wait_us = s->booking_wait_ms * BB_US_PER_MS,
 		.attempt_percent = s->attempt_percent,
 	};
