--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -246,6 +246,25 @@
 		return answer;
 	}
 
+	// Sends bytes on a new connection and reads until it ends, or until
+	// the text @last was received.
+	std::string send_and_read(const std::string &sent,
+				  const std::string &last)
+	{
+		std::string answer;
+		char buffer[4096];
+		ssize_t n = 1;
+
+		ask("GET /book", "");
+		send(fd_, sent.data(), sent.size(), MSG_NOSIGNAL);
+		while (answer.find(last) == std::string::npos && n > 0) {
+			n = recv(fd_, buffer, sizeof(buffer), 0);
+			if (n > 0)
+				answer.append(buffer, (size_t)n);
+		}
+		return answer;
+	}
+
 	// Returns status and verdict of a request on a new connection.
 	std::string ask(const std::string &line, const std::string &headers,
 			const std::string &body = "")
@@ -301,6 +320,7 @@
 
 	struct bb_body_memory *memory_ = nullptr;
 	int64_t stall_us_ = 60000000;
+	// Empty for the target of the request.
 	std::string answer_ = "done";
 	bool current_ = true;
 	bool full_ = false;
@@ -323,7 +343,9 @@
 	static bool submit(void *data, struct bb_call *c)
 	{
 		auto *self = static_cast<Front *>(data);
-		struct bb_bytes body = bytes(self->answer_);
+		const std::string answer =
+			self->answer_.empty() ? c->target : self->answer_;
+		struct bb_bytes body = bytes(answer);
 		Submitted s;
 
 		if (self->full_)
@@ -873,6 +895,52 @@
 	EXPECT_EQ(-1, connect(fd_, (struct sockaddr *)&a, sizeof(a)));
 }
 
+// Guards against answers out of order, and against requests that are lost, where a
+// caller sends further ones before the first was answered.
+TEST_F(Front, PipelinedRequestsAreAnsweredInOrder)
+{
+	std::string sent, answer;
+	size_t at = 0;
+
+	answer_ = "";
+	for (int i = 1; i <= 20; i++)
+		sent += request("GET /book/" + std::to_string(i) + "x", KEY,
+				"");
+	answer = send_and_read(sent, "/book/20x");
+	EXPECT_EQ(20u, submitted());
+	for (int i = 1; i <= 20; i++) {
+		at = answer.find("\r\n\r\n/book/" + std::to_string(i) + "x",
+				 at);
+		ASSERT_NE(std::string::npos, at) << i;
+	}
+}
+
+// Guards against a request that runs although the answer before it closed the
+// connection: its caller counts it as not read and sends it again.
+TEST_F(Front, PipelinedRequestBehindACloseIsNotRun)
+{
+	const std::string second = request("POST /book/second", KEY, "x");
+	const std::string closing[] = {
+		request("GET /book/first", KEY + "Connection: close\r\n", ""),
+		request("POST /book/first", KEY, std::string(70000, 'x')),
+		request("POST /book/first",
+			KEY + "Transfer-Encoding: chunked\r\n", "x"),
+	};
+
+	for (const std::string &first : closing) {
+		std::string answer = send_and_read(first + second, "never");
+
+		EXPECT_NE(std::string::npos, answer.find("HTTP/1.1 "));
+		EXPECT_EQ(std::string::npos, answer.find("HTTP/1.1 ", 1));
+		EXPECT_NE("/book/second", last().target);
+	}
+	// A draining node closes after its next answer.
+	ask("GET /book", KEY);
+	bb_front_drain(front_);
+	send_raw(request("GET /book/first", KEY, "") + second);
+	EXPECT_EQ("/book/first", last().target);
+}
+
 // Guards against a drain that does not end because a caller with many open
 // connections keeps sending requests.
 TEST_F(Front, RefusesRequestsWhenADrainTakesLong)
