--- a/include/baobabward/breaker.h
+++ b/include/baobabward/breaker.h
@@ -83,6 +83,16 @@
 void bb_breaker_failed(struct bb_breaker *b, int64_t started_us,
 		       int64_t now_us);
 
+/**
+ * bb_breaker_trial_dropped() - a request was not sent after all.
+ * @b: breaker
+ * @admitted_us: when it was admitted
+ *
+ * If it was the trial, another one is admitted, where nodes report the state of
+ * their backend servers: these avoid a backend server while a trial runs.
+ */
+void bb_breaker_trial_dropped(struct bb_breaker *b, int64_t admitted_us);
+
 /**
  * bb_breaker_is_stalled() - detect a hanging backend server from its running
  * requests, before their deadlines expire.
--- a/src/libcore/body_memory.c
+++ b/src/libcore/body_memory.c
@@ -45,6 +45,8 @@
  * @stage: large claims of the same stage
  * @account: large request bodies of the same account
  * @address: large request bodies of the same client address
+ * @small_account: small request bodies of the same account
+ * @small_address: small request bodies of the same client address
  */
 struct usage {
 	uint64_t total;
@@ -53,6 +55,8 @@
 	uint64_t stage;
 	uint64_t account;
 	uint64_t address;
+	uint64_t small_account;
+	uint64_t small_address;
 };
 
 static uint64_t percent_of(uint64_t n, unsigned int percent)
@@ -60,6 +64,12 @@
 	return n * percent / 100;
 }
 
+/* Request bodies that one account or client address may have. */
+static uint64_t share_bytes(uint64_t limit)
+{
+	return percent_of(percent_of(limit, REQUESTS_PERCENT), SHARE_PERCENT);
+}
+
 static bool is_small(uint64_t bytes)
 {
 	return bytes <= BB_BODY_SMALL_BYTES;
@@ -120,19 +130,27 @@
 static void add_to(struct usage *u, const struct bb_body_claim *c,
 		   const struct bb_body_claim *other)
 {
+	bool received = other->stage == BB_BODY_RECEIVED;
+	bool same_account = c->account && other->account == c->account;
+	bool same_address = c->address && other->address == c->address;
+
 	u->total += other->bytes;
 	if (is_small(other->bytes)) {
 		u->small += other->bytes;
+		if (received && same_account)
+			u->small_account += other->bytes;
+		if (received && same_address)
+			u->small_address += other->bytes;
 		return;
 	}
 	if (other->stage == c->stage)
 		u->stage += other->bytes;
-	if (other->stage != BB_BODY_RECEIVED)
+	if (!received)
 		return;
 	u->requests += other->bytes;
-	if (c->account && other->account == c->account)
+	if (same_account)
 		u->account += other->bytes;
-	if (c->address && other->address == c->address)
+	if (same_address)
 		u->address += other->bytes;
 }
 
@@ -148,6 +166,8 @@
 	u->stage -= one.stage;
 	u->account -= one.account;
 	u->address -= one.address;
+	u->small_account -= one.small_account;
+	u->small_address -= one.small_address;
 }
 
 static struct usage usage_of_others(const struct bb_body_memory *m,
@@ -168,13 +188,18 @@
 	uint64_t limit = m->o.limit;
 	uint64_t kept = MAX(u->small, percent_of(limit, SMALL_PERCENT));
 	uint64_t requests = percent_of(limit, REQUESTS_PERCENT);
-	uint64_t share = percent_of(requests, SHARE_PERCENT);
+	uint64_t share = share_bytes(limit);
 
 	if (!limit || c->stage == BB_BODY_RESPONSE)
 		return u->total + bytes <= limit || !limit;
-	if (is_small(bytes))
-		return u->total + bytes <= limit ||
-		       u->small + bytes <= percent_of(limit, SMALL_PERCENT);
+	if (is_small(bytes)) {
+		if (u->total + bytes > limit &&
+		    u->small + bytes > percent_of(limit, SMALL_PERCENT))
+			return false;
+		return c->stage != BB_BODY_RECEIVED ||
+		       (u->small_account + bytes <= share &&
+			u->small_address + bytes <= share);
+	}
 	if (!u->stage)
 		return true;
 	if (u->total - u->small + kept + bytes > limit)
@@ -238,12 +263,15 @@
 		  const struct bb_body_claim *other)
 {
 	uint64_t requests = percent_of(m->o.limit, REQUESTS_PERCENT);
-	uint64_t share = percent_of(requests, SHARE_PERCENT);
+	uint64_t share = share_bytes(m->o.limit);
 	bool same_account = c->account && c->account == other->account;
 	bool same_address = c->address && c->address == other->address;
 
-	if (is_small(bytes) || c->stage != BB_BODY_RECEIVED)
+	if (c->stage != BB_BODY_RECEIVED)
 		return true;
+	if (is_small(bytes))
+		return (u->small_account + bytes <= share || same_account) &&
+		       (u->small_address + bytes <= share || same_address);
 	if (u->account && u->account + bytes > share && !same_account)
 		return false;
 	if (u->address && u->address + bytes > share && !same_address)
@@ -313,9 +341,10 @@
 		return true;
 	pthread_mutex_lock(&m->lock);
 	if (bytes > c->bytes) {
-		/* The sums suffice for most small claims. */
-		ok = is_small(bytes) &&
-		     total_bytes(m) - c->bytes + bytes <= m->o.limit;
+		/* The sums suffice for most small claims: nobody has reached a
+		 * share yet. */
+		ok = is_small(bytes) && total_bytes(m) - c->bytes + bytes <=
+						share_bytes(m->o.limit);
 		if (!ok) {
 			struct usage u = usage_of_others(m, c);
 
--- a/src/libhealth/breaker.c
+++ b/src/libhealth/breaker.c
@@ -82,6 +82,12 @@
 	return true;
 }
 
+void bb_breaker_trial_dropped(struct bb_breaker *b, int64_t admitted_us)
+{
+	if (b->reported && b->trial_started_us == admitted_us)
+		b->trial_running = false;
+}
+
 void bb_breaker_succeeded(struct bb_breaker *b, int64_t started_us)
 {
 	if (b->failures && started_us < b->last_failure_us)
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -130,6 +130,18 @@
 	return load;
 }
 
+/* One slot of several stands for a backend server that takes only trials; a limit
+ * on the rate may leave one slot as well. */
+static struct bb_load without_trials(const struct adjacent_backend *b,
+				     struct bb_load load)
+{
+	if (load.slots == 1 && b->slots > 1) {
+		load.slots++;
+		load.in_flight++;
+	}
+	return load;
+}
+
 /*
  * Load for other nodes. A backend server that takes trials has one slot for
  * them, which is free unless all of its slots are taken; with @trials, it also
@@ -141,9 +153,12 @@
 	struct bb_load load = backend_load(b);
 	int64_t now_us = bb_clock_now_us();
 
-	if (!b->breaker.reported || !b->adjacent->o.breaker ||
-	    !bb_breaker_takes_trials(&b->breaker, now_us))
+	if (!b->breaker.reported)
 		return load;
+	if (!b->adjacent->o.breaker ||
+	    !b->adjacent->snapshot->config->automation ||
+	    !bb_breaker_takes_trials(&b->breaker, now_us))
+		return without_trials(b, load);
 	load.in_flight = load.in_flight + load.queued >= load.slots;
 	load.queued = 0;
 	load.slots = 1;
@@ -878,8 +893,10 @@
 	reason = claim_body(a, job, now_us) ?
 			 bb_queue_push(b->queue, &job->queue_entry, now_us) :
 			 BB_REASON_BODY_MEMORY;
-	if (reason)
+	if (reason) {
+		bb_breaker_trial_dropped(&b->breaker, now_us);
 		refuse_job(job, BB_VERDICT_NOT_RUN, reason);
+	}
 	bb_adjacent_start_queued(b);
 }
 
@@ -932,6 +949,8 @@
 	}
 	b = job->backend;
 	if (bb_queue_cancel(b->queue, &job->queue_entry)) {
+		bb_breaker_trial_dropped(&b->breaker,
+					 job->queue_entry.pushed_us);
 		refuse_job(job, BB_VERDICT_NOT_RUN, BB_REASON_CANCELLED);
 		return;
 	}
--- a/src/libnode/adjacent_warmup.c
+++ b/src/libnode/adjacent_warmup.c
@@ -87,6 +87,10 @@
 
 	switch (r->end) {
 	case BB_EXECUTION_NOT_SENT:
+		/* Without a refusal, the time of the request may have been too
+		 * short to connect. */
+		if (!r->connect_refused)
+			return;
 		bb_warmup_broke(&b->warmup, true, now_us);
 		break;
 	case BB_EXECUTION_BROKEN:
@@ -127,8 +131,7 @@
 		bb_warmup_check_answered(&b->warmup, r->notice.warmup_us,
 					 now_us);
 	else
-		bb_warmup_check_failed(&b->warmup,
-				       r->end == BB_EXECUTION_NOT_SENT, now_us);
+		bb_warmup_check_failed(&b->warmup, r->connect_refused, now_us);
 	bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, NULL, "warmup_check",
 		     "backend=%s end=%s status=%u left_ms=%" G_GINT64_FORMAT,
 		     b->name, bb_execution_end_string[r->end], r->status,
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -262,7 +262,9 @@
 	long status = 0;
 	long connects = 0;
 	long local_port = 0;
+	long os_errno = 0;
 
+	curl_easy_getinfo(x->easy, CURLINFO_OS_ERRNO, &os_errno);
 	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
 	curl_easy_getinfo(x->easy, CURLINFO_LOCAL_PORT, &local_port);
@@ -278,6 +280,8 @@
 	r.body.data = (const char *)x->response_body->data;
 	r.body.size = x->response_body->len;
 	r.latency_us = bb_clock_now_us() - x->started_us;
+	r.connect_refused = r.end == BB_EXECUTION_NOT_SENT &&
+			    os_errno == ECONNREFUSED;
 	r.new_connection = connects > 0;
 	r.local_port = (unsigned int)local_port;
 	r.body_end = body_end(x);
@@ -412,17 +416,17 @@
 {
 	struct bb_execution *x = data;
 	unsigned int unacknowledged_ms = UNACKNOWLEDGED_MAX_MS;
-	int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
-			address->protocol);
+	int fd;
 
 	(void)purpose;
-	if (fd < 0)
-		return CURL_SOCKET_BAD;
 	if (x->at_most_once && x->sent) {
 		x->ended = SENT_ALREADY;
-		close(fd);
 		return CURL_SOCKET_BAD;
 	}
+	fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+		    address->protocol);
+	if (fd < 0)
+		return CURL_SOCKET_BAD;
 	if (x->connection.serial) {
 		bb_metrics_add(BB_METRIC_REQUESTS_RESENT, 1);
 		bb_log_event(BB_LOG_BACKEND, G_LOG_LEVEL_INFO, x->request_id,
@@ -666,8 +670,9 @@
 	if (bb_connections_avoid_reuse(c, x->origin))
 		return true;
 	return x->at_most_once &&
-	       bb_connections_least_idle_us(c, x->origin, x->started_us) >
-		       x->reuse_us;
+	       (!x->reuse_us ||
+		bb_connections_least_idle_us(c, x->origin, x->started_us) >
+			x->reuse_us);
 }
 
 static void set_options(struct bb_execution *x,
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -133,6 +133,7 @@
  * @headers_nr: number of @headers
  * @body: response body
  * @latency_us: time from start to end
+ * @connect_refused: the connection was refused: nothing listens
  * @new_connection: a new connection was opened for the request
  * @local_port: port of this end of its connection, 0 if there was none
  * @body_end: what tells where the body ends
@@ -151,6 +152,7 @@
 	size_t headers_nr;
 	struct bb_bytes body;
 	int64_t latency_us;
+	bool connect_refused;
 	bool new_connection;
 	unsigned int local_port;
 	enum bb_body_end body_end;
--- a/src/libnode/session.c
+++ b/src/libnode/session.c
@@ -3,6 +3,10 @@
 #include <glib.h>
 #include <string.h>
 
+#include "baobabward/clock.h"
+
+/* Bound on the age of a report, which is useless long before. */
+#define AGE_MAX_US (3600 * BB_US_PER_S)
 /* Bound on the difference between the rates of two clocks. */
 #define CLOCK_DRIFT_PERCENT 1
 
@@ -79,8 +83,13 @@
 {
 	int64_t passed_us = now_us - s->welcome_us;
 	int64_t drift_us = passed_us * CLOCK_DRIFT_PERCENT / 100;
-	int64_t age_us = s->receiver_us + passed_us - clock_us;
+	int64_t age_us;
 
+	/* The times of a peer may have any value. */
+	if (__builtin_sub_overflow(s->receiver_us, clock_us, &age_us) ||
+	    __builtin_add_overflow(age_us, passed_us, &age_us) ||
+	    age_us > AGE_MAX_US)
+		age_us = AGE_MAX_US;
 	*min_us = MAX(0, age_us - drift_us);
 	*max_us = MAX(0, age_us + drift_us + s->round_trip_us);
 }
--- a/src/libroute/backend_view.c
+++ b/src/libroute/backend_view.c
@@ -144,7 +144,8 @@
 		return false;
 	age_us = MAX(0, now_us - k->sent_us);
 	*load = k->load;
-	load->avoid_for_us = MAX(0, load->avoid_for_us - age_us);
+	/* That of a peer may have any value. */
+	load->avoid_for_us = MAX(0, MAX(0, load->avoid_for_us) - age_us);
 	return true;
 }
 
--- a/src/libroute/retry_after.c
+++ b/src/libroute/retry_after.c
@@ -18,6 +18,9 @@
 #define INTERVAL_MAX_US (200 * BB_US_PER_MS)
 /* Callers follow Retry-After up to this part of the time that they have left. */
 #define LEFT_DIVISOR 3
+/* Bound on an expected wait, longer than any deadline. What peers report of their
+ * backend servers may have any value. */
+#define WAIT_MAX_US (600 * BB_US_PER_S)
 /* Mean time after which to return to a node that cannot serve. */
 #define UNAVAILABLE_US (1 * BB_US_PER_S)
 
@@ -49,7 +52,8 @@
 	double work_us = load->work_us > 0 ? (double)load->work_us :
 					     load->queued * r->service_us;
 
-	return MAX((int64_t)(work_us / slots), load->avoid_for_us);
+	return MAX((int64_t)fmin(work_us / slots, (double)WAIT_MAX_US),
+		   MIN(load->avoid_for_us, WAIT_MAX_US));
 }
 
 static double interval_us(const struct bb_returns *r)
--- a/src/test_lib/test_body_memory.cc
+++ b/src/test_lib/test_body_memory.cc
@@ -106,6 +106,32 @@
 };
 } // namespace
 
+// Guards against one account, or one client address, that takes all of the memory
+// with bodies that count as small.
+TEST_F(BodyMemory, SmallBodiesOfOneCallerLeaveRoom)
+{
+	struct {
+		uint64_t account, address;
+	} crowds[] = { { 1, 0 }, { 0, 2 } };
+	std::vector<struct bb_body_claim *> crowd;
+
+	for (auto &x : crowds) {
+		for (int i = 0; i < 3000; i++) {
+			struct bb_body_claim *c =
+				receive(16 * KB, x.account, x.address);
+
+			if (c)
+				crowd.push_back(c);
+		}
+		EXPECT_LE(crowd.size() * 16 * KB, 12 * MB);
+		EXPECT_GE(crowd.size() * 16 * KB, 11 * MB);
+		EXPECT_NE(nullptr, receive(1 * KB, 7, 8));
+		for (struct bb_body_claim *c : crowd)
+			bb_body_claim_end(memory_, c);
+		crowd.clear();
+	}
+}
+
 // Guards against a crowd of large bodies that takes more than its part, and
 // against bookings of 1 KB that are refused while it stays.
 TEST_F(BodyMemory, CrowdLeavesRoomForSmallRequests)
--- a/src/test_lib/test_breaker.cc
+++ b/src/test_lib/test_breaker.cc
@@ -335,3 +335,22 @@
 	EXPECT_LT(after.errors * 3, before.errors);
 	EXPECT_EQ(0, after.refused);
 }
+
+// Guards against a backend server that gets no requests for seconds because the
+// request that was to be the trial was refused by its queue or cancelled.
+TEST(Breaker, DroppedTrialIsReplaced)
+{
+	for (bool reported : { false, true }) {
+		struct bb_breaker b = {};
+		int64_t now = 1000000;
+
+		b.reported = reported;
+		bb_breaker_failed(&b, now, now + 1);
+		now += 10 * BB_US_PER_S;
+		EXPECT_TRUE(bb_breaker_admit(&b, true, false, now));
+		bb_breaker_trial_dropped(&b, now - 1);
+		EXPECT_FALSE(bb_breaker_admit(&b, true, false, now + 1));
+		bb_breaker_trial_dropped(&b, now);
+		EXPECT_EQ(reported, bb_breaker_admit(&b, true, false, now + 2));
+	}
+}
