--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -458,8 +458,10 @@
 
 /*
  * libcurl calls this when the request has an established connection, before it
- * is sent, also before it is sent again because the connection was closed.
+ * is sent, also before it is sent again because the connection was closed. The
+ * types of the parameters are those of curl_prereq_callback.
  */
+/* NOLINTNEXTLINE(readability-non-const-parameter) */
 static int on_connected(void *data, char *remote_address, char *local_address,
 			int remote_port, int local_port)
 {
--- a/src/libroute/balance.c
+++ b/src/libroute/balance.c
@@ -745,14 +745,19 @@
 {
 	uint32_t window = ck_pr_load_32(&b->local_window);
 	struct member *best = NULL;
+	/* Without a placement, a draw that is not eligible is not repeated. */
+	int draws = p ? DRAWS_MAX : 2;
+	int found = 0;
 
-	for (int i = 0; i < 2 && window; i++) {
+	for (int i = 0; i < draws && window && found < 2; i++) {
 		uint32_t at = b->locals[next_random(b) % window];
 		struct member *m = &b->members[at];
 
-		if (is_eligible(m, excluded, excluded_nr, false, now_us) &&
-		    is_drawn(b, m, p, now_us))
-			best = less_loaded(b, best, m, p, now_us);
+		if (!is_eligible(m, excluded, excluded_nr, false, now_us) ||
+		    !is_drawn(b, m, p, now_us))
+			continue;
+		found++;
+		best = less_loaded(b, best, m, p, now_us);
 	}
 	return best;
 }
@@ -767,13 +772,12 @@
 	return load <= b->local_max_load;
 }
 
-/* Whether the own zone comes first. Another attempt of a small request goes to
- * any zone. */
+/* Whether the own zone comes first. With a placement, also for another attempt:
+ * most follow a refusal by one failing server of the zone. */
 static bool tries_local(const struct bb_balance *b,
 			const struct bb_placement *p, size_t excluded_nr)
 {
-	return b->local_max_load > 0 &&
-	       (!excluded_nr || (p && p->bytes > SMALL_BYTES));
+	return b->local_max_load > 0 && (!excluded_nr || p);
 }
 
 static struct bb_choice choose(struct bb_balance *b,
