--- a/src/libcore/body_memory.c
+++ b/src/libcore/body_memory.c
@@ -341,7 +341,7 @@
 		return true;
 	pthread_mutex_lock(&m->lock);
 	if (bytes > c->bytes) {
-		/* The sums suffice for most small claims: nobody has reached a
+		/* The sums suffice for most small claims: no caller has reached a
 		 * share yet. */
 		ok = is_small(bytes) && total_bytes(m) - c->bytes + bytes <=
 						share_bytes(m->o.limit);
