--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -80,7 +80,6 @@
 {"version":$1,"automation":${fleet_automation:-true},
 ${fleet_policies:+"\"policies\":{$fleet_policies},"}
 "idempotency_window_ms":${fleet_idempotency_window_ms:-2000},
-${fleet_policies:+"\"policies\":{$fleet_policies},"}
 "hosts":[${hosts%,}],
 "services":[{"name":"orders","floor_percent":60}],
 "backends":[${backends%,}],
