Front: a request that ends without an answer is logged and counted

Change: libmicrohttpd's reason for the end of a request is logged with event=unanswered and counted, unless the caller left before its request was complete. The log has the bytes received and declared, and whether the request was whole and an answer begun.

--- a/src/libcore/metrics.c
+++ b/src/libcore/metrics.c
@@ -31,6 +31,8 @@
 	  "Part of body_bytes for responses on the way to callers." },
 	{ "bodies_gave_way_total", "counter",
 	  "Bodies without progress dropped to make room for others." },
+	{ "unanswered_total", "counter",
+	  "Requests whose connection ended without a complete answer." },
 	{ "answers_local_total", "counter",
 	  "Requests answered by a backend server beside the entry node." },
 	{ "answers_remote_total", "counter",
--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -186,6 +186,7 @@
 	bb_metrics_observe(BB_HISTOGRAM_ANSWER,
 			   bb_clock_now_us() - c->arrived_us);
 	rc = MHD_queue_response(c->connection, a->status, r);
+	c->answer_queued = rc == MHD_YES;
 	MHD_destroy_response(r);
 	return rc;
 }
--- a/src/libnode/call.h
+++ b/src/libnode/call.h
@@ -74,7 +74,10 @@
  * @upload_capacity: size of the buffer @upload
  * @declared_size: Content-Length, 0 for none
  * @memory: claim on memory for the body, then for the response
+ * @received_bytes: bytes of the body that were received, also those discarded
  * @discarded_bytes: bytes of the body of a refused request that were discarded
+ * @whole: the body was received to its end
+ * @answer_queued: the answer was handed to libmicrohttpd
  * @lookup_only: the caller only asks for the outcome of an idempotency key
  * @idempotency_key_hash: hash of account, route and key, if
  *                        @has_idempotency_key
@@ -105,7 +108,10 @@
 	size_t upload_capacity;
 	uint64_t declared_size;
 	struct bb_body_claim memory;
+	uint64_t received_bytes;
 	size_t discarded_bytes;
+	bool whole;
+	bool answer_queued;
 	bool has_idempotency_key;
 	bool lookup_only;
 	uint8_t idempotency_key_hash[32];
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -252,7 +252,6 @@
 {
 	bool ok;
 
-	c->declared_size = declared_length(c);
 	bb_body_claim_begin(f->o.memory, &c->memory, BB_BODY_RECEIVED,
 			    account_hash(c), address_hash(c->connection),
 			    bb_clock_now_us());
@@ -268,6 +267,7 @@
 	enum bb_reason reason;
 
 	c->method = g_strdup(method);
+	c->declared_size = declared_length(c);
 	reason = bb_front_admit(f, c);
 	if (!reason && !claim_declared(f, c))
 		reason = BB_REASON_BODY_MEMORY;
@@ -351,6 +351,7 @@
 {
 	enum bb_reason reason;
 
+	c->received_bytes += *size;
 	if (c->answer.reason)
 		return discard_body(c, size);
 	reason = take_piece(f, c, data, *size);
@@ -368,6 +369,7 @@
 	enum bb_reason reason = c->answer.reason;
 	XXH64_hash_t h;
 
+	c->whole = true;
 	if (!reason && !bb_body_claim_pin(f->o.memory, &c->memory))
 		reason = BB_REASON_BODY_MEMORY;
 	bb_call_complete_body(c);
@@ -438,17 +440,63 @@
 	return end_request(f, c);
 }
 
+static const char *termination_text(enum MHD_RequestTerminationCode why)
+{
+	switch (why) {
+	case MHD_REQUEST_TERMINATED_COMPLETED_OK:
+		return "completed";
+	case MHD_REQUEST_TERMINATED_WITH_ERROR:
+		return "error";
+	case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+		return "timeout";
+	case MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN:
+		return "shutdown";
+	case MHD_REQUEST_TERMINATED_READ_ERROR:
+		return "read-error";
+	case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+		return "caller-left";
+	}
+	return "unknown";
+}
+
+/*
+ * The caller got no complete answer. One that leaves before its request is
+ * complete expects none.
+ */
+static void log_unanswered(const struct bb_call *c,
+			   enum MHD_RequestTerminationCode why)
+{
+	bool left = !c->whole && (why == MHD_REQUEST_TERMINATED_CLIENT_ABORT ||
+				  why == MHD_REQUEST_TERMINATED_READ_ERROR);
+
+	if (!left)
+		bb_metrics_add(BB_METRIC_UNANSWERED, 1);
+	bb_log_event(BB_LOG_FRONT, left ? G_LOG_LEVEL_DEBUG : G_LOG_LEVEL_INFO,
+		     c->id, "unanswered",
+		     "why=%s answer=%s whole=%d received=%" G_GUINT64_FORMAT
+		     " declared=%" G_GUINT64_FORMAT
+		     " reason=%s config=%" G_GUINT64_FORMAT
+		     " took_ms=%" G_GINT64_FORMAT,
+		     termination_text(why), c->answer_queued ? "cut" : "none",
+		     c->whole, c->received_bytes, c->declared_size,
+		     bb_reason_string[c->answer.reason],
+		     c->snapshot->config->version,
+		     (bb_clock_now_us() - c->arrived_us) / BB_US_PER_MS);
+}
+
 static void on_completed(void *data, struct MHD_Connection *connection,
 			 void **request, enum MHD_RequestTerminationCode why)
 {
 	struct bb_front *f = data;
+	struct bb_call *c = *request;
 
 	(void)connection;
-	(void)why;
-	if (!*request)
+	if (!c)
 		return;
-	bb_body_claim_end(f->o.memory, &((struct bb_call *)*request)->memory);
-	bb_call_delete(*request);
+	if (!c->answer_queued || why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		log_unanswered(c, why);
+	bb_body_claim_end(f->o.memory, &c->memory);
+	bb_call_delete(c);
 	*request = NULL;
 	ck_pr_dec_uint(&f->open_requests);
 }
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -15,6 +15,7 @@
 #include "config_fixture.h"
 
 extern "C" {
+#include "baobabward/metrics.h"
 #include "libnode/front.h"
 #include "libnode/headers.h"
 }
@@ -829,6 +830,34 @@
 	EXPECT_EQ(0u, submitted());
 }
 
+// Guards against a request that ends without an answer and leaves no trace, and
+// against answered requests and callers that left early being counted.
+TEST_F(Front, UnansweredRequestIsCounted)
+{
+	const std::string whole = request("POST /book", KEY, "body");
+	uint64_t before = bb_metrics_get(BB_METRIC_UNANSWERED);
+
+	EXPECT_EQ("200 ran", status(send_raw(whole)));
+	EXPECT_EQ("401 not-run", ask("POST /book", "", "body"));
+	close(fd_);
+	fd_ = -1;
+	ask("GET /book", KEY);
+	send(fd_, whole.data(), whole.size() - 1, 0);
+	while (!bb_front_requests(front_))
+		g_usleep(1000);
+	close(fd_);
+	fd_ = -1;
+	while (bb_front_requests(front_))
+		g_usleep(1000);
+	EXPECT_EQ(before, bb_metrics_get(BB_METRIC_UNANSWERED));
+	ask("GET /book", KEY);
+	send(fd_, whole.data(), whole.size() - 1, 0);
+	while (!bb_front_requests(front_))
+		g_usleep(1000);
+	bb_front_finish(front_);
+	EXPECT_EQ(before + 1, bb_metrics_get(BB_METRIC_UNANSWERED));
+}
+
 // Guards against a different request with the same idempotency key that is
 // taken for a repetition of the first.
 TEST_F(Front, FingerprintCoversTheRequest)
