Front: refused requests with long bodies are answered

What callers saw: a request with a wrong key, or a path without a route, and a body of over 1 MiB got no answer although all of it was sent: the connection was closed (reset while the caller still sent). 413, 400 and 431 were lost to a reset in the same way when the caller was sending.

Cause: libmicrohttpd takes a response before the body or after it only. Before it, the connection is closed with bytes unread, and the reset takes the answer along; so the body was read first, but only up to 1 MiB, and then the connection was closed without an answer. Class: a limit on the work for a refusal ends the promise of an answer.

Change: a refusal that does not wait for the body, since that is long, or because of its size, headers or framing, is written to the connection at once and closes the sending direction; the rest of the body is read and discarded, up to 64 MiB or the largest body of the configuration. A caller that was answered and sends nothing more is cut off by the look at bodies without progress. Bodies that do not fit in memory were read to their end before the answer; they follow the same rule now.

Front.RefusalsWaitForTheBody required that a body of 3 MiB with a wrong key ends without an answer. It requires the answer, "Connection: close" and the end of the connection now.

--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -1,9 +1,11 @@
 #include "libnode/answer.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "baobabward/clock.h"
 #include "baobabward/log.h"
@@ -34,19 +36,53 @@
 	return s;
 }
 
-static void add_retry_after(struct MHD_Response *r, uint32_t ms,
-			    const struct bb_dialect *d)
+/* Value of the header Retry-After. */
+static void retry_after_text(char *to, size_t size, uint32_t ms,
+			     const struct bb_dialect *d)
 {
-	char seconds[16];
-
-	if (!ms)
-		return;
 	if (d->fractional_retry_after)
-		g_snprintf(seconds, sizeof(seconds), "%u.%03u", ms / 1000,
-			   ms % 1000);
+		g_snprintf(to, size, "%u.%03u", ms / 1000, ms % 1000);
 	else
-		g_snprintf(seconds, sizeof(seconds), "%u", (ms + 999) / 1000);
-	MHD_add_response_header(r, "Retry-After", seconds);
+		g_snprintf(to, size, "%u", (ms + 999) / 1000);
+}
+
+typedef void (*add_header_fn)(void *to, const char *name, const char *value);
+
+/* Headers of a problem document; the HTTP server adds length and date. */
+static void add_problem_headers(const struct bb_call *c,
+				const struct bb_dialect *d, add_header_fn add,
+				void *to)
+{
+	char seconds[16];
+
+	add(to, "Content-Type", "application/problem+json");
+	if (c->answer.retry_after_ms) {
+		retry_after_text(seconds, sizeof(seconds),
+				 c->answer.retry_after_ms, d);
+		add(to, "Retry-After", seconds);
+	}
+	if (c->answer.status == 401)
+		add(to, "WWW-Authenticate", "Bearer");
+}
+
+/* Headers of each answer. */
+static void add_answer_headers(const struct bb_call *c, bool close,
+			       add_header_fn add, void *to)
+{
+	add(to, "Baobabward-Verdict", bb_verdict_string[c->answer.verdict]);
+	add(to, "Baobabward-Request-Id", c->id);
+	if (close)
+		add(to, "Connection", "close");
+}
+
+static void add_to_response(void *to, const char *name, const char *value)
+{
+	MHD_add_response_header(to, name, value);
+}
+
+static void add_to_text(void *to, const char *name, const char *value)
+{
+	g_string_append_printf(to, "%s: %s\r\n", name, value);
 }
 
 static struct MHD_Response *problem_response(const struct bb_call *c,
@@ -56,10 +92,7 @@
 	struct MHD_Response *r = MHD_create_response_from_buffer(
 		strlen(body), body, MHD_RESPMEM_MUST_FREE);
 
-	MHD_add_response_header(r, "Content-Type", "application/problem+json");
-	add_retry_after(r, c->answer.retry_after_ms, d);
-	if (c->answer.status == 401)
-		MHD_add_response_header(r, "WWW-Authenticate", "Bearer");
+	add_problem_headers(c, d, add_to_response, r);
 	return r;
 }
 
@@ -160,6 +193,17 @@
 		a->retry_after_ms);
 }
 
+static void record_answer(struct bb_call *c, struct bb_request_history *history)
+{
+	if (c->answer.reason != BB_REASON_NONE) {
+		bb_metrics_count_refusal(c->answer.reason);
+		bb_request_history_add(history, c);
+	}
+	log_answer(c);
+	bb_metrics_observe(BB_HISTOGRAM_ANSWER,
+			   bb_clock_now_us() - c->arrived_us);
+}
+
 enum MHD_Result bb_answer_queue(struct bb_call *c, bool close,
 				const struct bb_dialect *dialect,
 				struct bb_request_history *history,
@@ -173,20 +217,54 @@
 		answer_503_if_not_run(a);
 	r = a->reason == BB_REASON_NONE ? backend_response(c, memory) :
 					  problem_response(c, dialect);
-	MHD_add_response_header(r, "Baobabward-Verdict",
-				bb_verdict_string[a->verdict]);
-	MHD_add_response_header(r, "Baobabward-Request-Id", c->id);
-	if (close)
-		MHD_add_response_header(r, "Connection", "close");
-	if (a->reason != BB_REASON_NONE) {
-		bb_metrics_count_refusal(a->reason);
-		bb_request_history_add(history, c);
-	}
-	log_answer(c);
-	bb_metrics_observe(BB_HISTOGRAM_ANSWER,
-			   bb_clock_now_us() - c->arrived_us);
+	add_answer_headers(c, close, add_to_response, r);
+	record_answer(c, history);
 	rc = MHD_queue_response(c->connection, a->status, r);
 	c->answer_queued = rc == MHD_YES;
 	MHD_destroy_response(r);
 	return rc;
 }
+
+static GString *problem_text(const struct bb_call *c,
+			     const struct bb_dialect *d)
+{
+	GString *text = g_string_new(NULL);
+	char *body = problem_body(c);
+
+	g_string_printf(text, "HTTP/1.1 %u %s\r\n", c->answer.status,
+			MHD_get_reason_phrase_for(c->answer.status));
+	add_problem_headers(c, d, add_to_text, text);
+	add_answer_headers(c, true, add_to_text, text);
+	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n",
+			       strlen(body));
+	if (strcmp(c->method, MHD_HTTP_METHOD_HEAD) != 0)
+		g_string_append(text, body);
+	free(body);
+	return text;
+}
+
+bool bb_answer_send_early(struct bb_call *c, int fd,
+			  const struct bb_dialect *dialect,
+			  struct bb_request_history *history)
+{
+	GString *text;
+	ssize_t n;
+
+	if (dialect->not_run_as_503)
+		answer_503_if_not_run(&c->answer);
+	text = problem_text(c, dialect);
+	record_answer(c, history);
+	n = send(fd, text->str, text->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+	c->answer_queued = n == (ssize_t)text->len;
+	if (!c->answer_queued)
+		bb_log_event(BB_LOG_FRONT, G_LOG_LEVEL_INFO, c->id,
+			     "answer_not_sent",
+			     "sent=%" G_GSSIZE_FORMAT " size=%" G_GSIZE_FORMAT
+			     " error=\"%s\"",
+			     (gssize)n, text->len,
+			     n < 0 ? g_strerror(errno) : "-");
+	g_string_free(text, TRUE);
+	/* For callers that read until the connection ends. */
+	shutdown(fd, SHUT_WR);
+	return c->answer_queued;
+}
--- a/src/libnode/answer.h
+++ b/src/libnode/answer.h
@@ -25,4 +25,22 @@
 				struct bb_request_history *history,
 				struct bb_body_memory *memory);
 
+/**
+ * bb_answer_send_early() - send a refusal before the body of its request is in.
+ * @c: call with its refusal set
+ * @fd: socket of the connection, on which nothing else waits to be sent
+ * @dialect: names of headers
+ * @history: list to which the refusal is added, may be NULL
+ *
+ * libmicrohttpd answers before the body or after it, and closes the connection in
+ * the former case, whereupon a caller that still sends loses the answer to a reset
+ * (RFC 9112, 9.6). This function writes the answer and closes the sending direction
+ * only; the rest of the body has to be read and discarded.
+ *
+ * Return: false if the answer could not be written; this is logged.
+ */
+bool bb_answer_send_early(struct bb_call *c, int fd,
+			  const struct bb_dialect *dialect,
+			  struct bb_request_history *history);
+
 #endif
--- a/src/libnode/call.h
+++ b/src/libnode/call.h
@@ -76,6 +76,8 @@
  * @memory: claim on memory for the body, then for the response
  * @received_bytes: bytes of the body that were received, also those discarded
  * @discarded_bytes: bytes of the body of a refused request that were discarded
+ * @discard_max_bytes: most bytes to discard once @answered_early
+ * @answered_early: the refusal was sent before the body was in; atomic
  * @whole: the body was received to its end
  * @answer_queued: the answer was handed to libmicrohttpd
  * @lookup_only: the caller only asks for the outcome of an idempotency key
@@ -110,6 +112,8 @@
 	struct bb_body_claim memory;
 	uint64_t received_bytes;
 	size_t discarded_bytes;
+	size_t discard_max_bytes;
+	int answered_early;
 	bool whole;
 	bool answer_queued;
 	bool has_idempotency_key;
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -21,10 +21,15 @@
 /* Memory for the request line and headers of a connection. */
 #define CONNECTION_MEMORY_BYTES (32u * 1024)
 /*
- * Maximum size of a refused request's body that is read and discarded; beyond
- * it the connection is closed.
+ * Bytes of a refused request's body that are read before the answer, so that the
+ * connection can be kept.
  */
-#define DISCARD_MAX_BYTES ((size_t)1024 * 1024)
+#define ANSWER_EARLY_BYTES ((size_t)1024 * 1024)
+/*
+ * Bytes of it that are read in any case, so that a body of legal size is read to
+ * its end although a configuration lowered the limit meanwhile.
+ */
+#define DISCARD_MIN_BYTES ((size_t)64 * 1024 * 1024)
 
 /* Bytes by which the buffer for a body of unknown length grows at least: a page. */
 #define CAPACITY_STEP_BYTES ((size_t)4096)
@@ -45,14 +50,19 @@
 
 static void release_body(struct bb_front *f, struct bb_call *c);
 
-static enum MHD_Result refuse(struct bb_front *f, struct bb_call *c,
-			      enum bb_reason reason)
+static void set_refusal(struct bb_call *c, enum bb_reason reason)
 {
 	uint32_t retry_after_ms = bb_reason_status(reason) == 503 ?
 					  retry_after_unavailable_ms(c) :
 					  0;
 
 	bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, retry_after_ms);
+}
+
+static enum MHD_Result refuse(struct bb_front *f, struct bb_call *c,
+			      enum bb_reason reason)
+{
+	set_refusal(c, reason);
 	c->state = BB_CALL_ANSWERED;
 	release_body(f, c);
 	return bb_answer_queue(c, ck_pr_load_int(&f->draining), f->o.dialect,
@@ -84,26 +94,6 @@
 	return c;
 }
 
-/*
- * If a response is queued before the body has been read, libmicrohttpd closes
- * the connection, and a caller that is still sending may lose the response to a
- * connection reset. It would not know that the request did not run. The body is
- * therefore read first, unless the caller waits for "100 Continue" to send it.
- */
-static enum MHD_Result refuse_admission(struct bb_front *f, struct bb_call *c,
-					enum bb_reason reason)
-{
-	/* A body that is too large or has ambiguous framing is not read. */
-	if (reason == BB_REASON_BAD_REQUEST ||
-	    reason == BB_REASON_BODY_TOO_LARGE ||
-	    reason == BB_REASON_HEADERS_TOO_LARGE ||
-	    MHD_lookup_connection_value(c->connection, MHD_HEADER_KIND,
-					"Expect"))
-		return refuse(f, c, reason);
-	bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, 0);
-	return MHD_YES;
-}
-
 /* Hash of the client's address, of IPv6 of its /64 network, which one client may
  * have all of; 0 if it is not known. */
 static uint64_t address_hash(struct MHD_Connection *connection)
@@ -145,11 +135,12 @@
 }
 
 /*
- * Descriptor of the connection of a listed claim, -1 if there is none. To be used
- * with the accounting locked: libmicrohttpd closes the descriptor only after
- * on_completed(), which ends the claim and so waits for the lock.
+ * Descriptor of the connection, -1 if there is none. For use in a callback of
+ * libmicrohttpd, or of a listed claim with the accounting locked: libmicrohttpd
+ * closes the descriptor only after on_completed(), which ends the claim and so
+ * waits for the lock.
  */
-static int claim_fd(const struct bb_call *c)
+static int caller_fd(const struct bb_call *c)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		c->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -167,7 +158,7 @@
 
 bool bb_front_has_input(void *data, struct bb_body_claim *claim)
 {
-	int fd = claim_fd(claim_call(claim));
+	int fd = caller_fd(claim_call(claim));
 	char byte;
 
 	(void)data;
@@ -177,16 +168,21 @@
 
 void bb_front_stalled(void *data, struct bb_body_claim *claim)
 {
-	int fd = claim_fd(claim_call(claim));
+	struct bb_call *c = claim_call(claim);
+	int fd = caller_fd(c);
 	char byte;
+	ssize_t n;
 
 	(void)data;
+	if (fd < 0 || claim->stage != BB_BODY_RECEIVED)
+		return;
+	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	/*
 	 * 0 is the end of the connection, with no byte before it. A caller that
-	 * has sent its request may have closed this direction only.
+	 * has sent its request may have closed this direction only. One that was
+	 * answered and sends no more has nothing left to get.
 	 */
-	if (fd >= 0 && claim->stage == BB_BODY_RECEIVED &&
-	    !recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT))
+	if (!n || (n < 0 && ck_pr_load_int(&c->answered_early)))
 		shut_down(fd);
 }
 
@@ -207,7 +203,7 @@
 	}
 	g_byte_array_unref(c->answer.body);
 	c->answer.body = NULL;
-	shut_down(claim_fd(c));
+	shut_down(caller_fd(c));
 }
 
 /* The call has no body, or its answer is set, so that the body is not needed. */
@@ -232,6 +228,17 @@
 			     now_us);
 }
 
+static bool has_header(const struct bb_call *c, const char *name)
+{
+	return MHD_lookup_connection_value(c->connection, MHD_HEADER_KIND,
+					   name);
+}
+
+static bool has_body(const struct bb_call *c)
+{
+	return c->declared_size || has_header(c, "Transfer-Encoding");
+}
+
 /* Declared length of the body, 0 for none or one in chunks. */
 static uint64_t declared_length(const struct bb_call *c)
 {
@@ -244,6 +251,13 @@
 	return n;
 }
 
+static void begin_claim(struct bb_front *f, struct bb_call *c)
+{
+	bb_body_claim_begin(f->o.memory, &c->memory, BB_BODY_RECEIVED,
+			    account_hash(c), address_hash(c->connection),
+			    bb_clock_now_us());
+}
+
 /*
  * Claims the whole body if its length is declared: one that is admitted then
  * does not fail halfway. Of a body in chunks, memory is claimed as it arrives.
@@ -252,15 +266,74 @@
 {
 	bool ok;
 
-	bb_body_claim_begin(f->o.memory, &c->memory, BB_BODY_RECEIVED,
-			    account_hash(c), address_hash(c->connection),
-			    bb_clock_now_us());
+	begin_claim(f, c);
 	ok = resize_claim(f, c, c->declared_size);
 	/* A refused claim stays listed, for bb_front_stalled(). */
 	bb_body_claim_moved(f->o.memory, &c->memory, 0, bb_clock_now_us());
 	return ok;
 }
 
+/* Largest body that a caller may send to some route. */
+static size_t largest_body(const struct bb_call *c)
+{
+	const struct bb_config *config = c->snapshot->config;
+	size_t max = 0;
+
+	for (size_t i = 0; i < config->routes_nr; i++)
+		max = MAX(max, config->routes[i].max_body_bytes);
+	return max;
+}
+
+/*
+ * Answers a refused request while its body is still being received. The rest of a
+ * body of legal size is read and discarded, so that the caller is not reset before
+ * it has read the answer.
+ */
+static enum MHD_Result answer_early(struct bb_front *f, struct bb_call *c)
+{
+	set_refusal(c, c->answer.reason);
+	c->discard_max_bytes = MAX(DISCARD_MIN_BYTES, largest_body(c));
+	if (!bb_answer_send_early(c, caller_fd(c), f->o.dialect, f->o.history))
+		return MHD_NO;
+	if (!c->memory.listed)
+		begin_claim(f, c);
+	ck_pr_store_int(&c->answered_early, 1);
+	bb_body_claim_moved(f->o.memory, &c->memory, 0, bb_clock_now_us());
+	return MHD_YES;
+}
+
+/* Whether the refusal does not wait for a body that is short. */
+static bool is_refused_at_once(enum bb_reason reason)
+{
+	switch (reason) {
+	case BB_REASON_BAD_REQUEST:
+	case BB_REASON_BODY_TOO_LARGE:
+	case BB_REASON_HEADERS_TOO_LARGE:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/*
+ * If a response is queued before the body has been read, libmicrohttpd closes
+ * the connection, and a caller that is still sending may lose the response to a
+ * connection reset. It would not know that the request did not run. A short body
+ * is therefore read first, unless the caller waits for "100 Continue" to send it.
+ */
+static enum MHD_Result refuse_admission(struct bb_front *f, struct bb_call *c,
+					enum bb_reason reason)
+{
+	bool at_once = is_refused_at_once(reason);
+
+	if (has_header(c, "Expect") || (at_once && !has_body(c)))
+		return refuse(f, c, reason);
+	bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, 0);
+	return at_once || c->declared_size > ANSWER_EARLY_BYTES ?
+		       answer_early(f, c) :
+		       MHD_YES;
+}
+
 static enum MHD_Result begin_request(struct bb_front *f, struct bb_call *c,
 				     const char *method)
 {
@@ -276,19 +349,18 @@
 	return MHD_YES;
 }
 
-/*
- * Reads the body without storing it, so that the caller gets the refusal. One
- * that may be sent again as it is, is read to its end.
- */
-static enum MHD_Result discard_body(struct bb_call *c, size_t *size)
+/* Reads the body without storing it, so that the caller gets the refusal. */
+static enum MHD_Result discard_body(struct bb_front *f, struct bb_call *c,
+				    size_t *size)
 {
-	size_t max = c->answer.reason == BB_REASON_BODY_MEMORY ?
-			     bb_call_route(c)->max_body_bytes :
-			     DISCARD_MAX_BYTES;
-
 	c->discarded_bytes += *size;
+	bb_body_claim_moved(f->o.memory, &c->memory, *size, bb_clock_now_us());
 	*size = 0;
-	return c->discarded_bytes > max ? MHD_NO : MHD_YES;
+	if (c->discarded_bytes <= ANSWER_EARLY_BYTES)
+		return MHD_YES;
+	if (!ck_pr_load_int(&c->answered_early))
+		return answer_early(f, c);
+	return c->discarded_bytes > c->discard_max_bytes ? MHD_NO : MHD_YES;
 }
 
 /* Capacity for a body of at least @size bytes. */
@@ -353,12 +425,12 @@
 
 	c->received_bytes += *size;
 	if (c->answer.reason)
-		return discard_body(c, size);
+		return discard_body(f, c, size);
 	reason = take_piece(f, c, data, *size);
 	if (reason) {
 		bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, 0);
 		empty_body(f, c);
-		return discard_body(c, size);
+		return discard_body(f, c, size);
 	}
 	*size = 0;
 	return MHD_YES;
@@ -370,6 +442,8 @@
 	XXH64_hash_t h;
 
 	c->whole = true;
+	if (ck_pr_load_int(&c->answered_early))
+		return MHD_NO;
 	if (!reason && !bb_body_claim_pin(f->o.memory, &c->memory))
 		reason = BB_REASON_BODY_MEMORY;
 	bb_call_complete_body(c);
@@ -459,6 +533,14 @@
 	return "unknown";
 }
 
+static bool is_answered(const struct bb_call *c,
+			enum MHD_RequestTerminationCode why)
+{
+	return c->answer_queued &&
+	       (why == MHD_REQUEST_TERMINATED_COMPLETED_OK ||
+		ck_pr_load_int(&c->answered_early));
+}
+
 /*
  * The caller got no complete answer. One that leaves before its request is
  * complete expects none.
@@ -493,7 +575,7 @@
 	(void)connection;
 	if (!c)
 		return;
-	if (!c->answer_queued || why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+	if (!is_answered(c, why))
 		log_unanswered(c, why);
 	bb_body_claim_end(f->o.memory, &c->memory);
 	bb_call_delete(c);
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -15,6 +15,7 @@
 #include "config_fixture.h"
 
 extern "C" {
+#include "baobabward/clock.h"
 #include "baobabward/metrics.h"
 #include "libnode/front.h"
 #include "libnode/headers.h"
@@ -164,10 +165,11 @@
 	{
 		struct bb_body_memory_options m = {};
 
-		m.limit = 60000;
+		m.limit = memory_limit_;
 		// Longer than the tests that expect a body to be kept.
 		m.stall_us = stall_us_;
 		m.give_way = bb_front_give_way;
+		m.stalled = bb_front_stalled;
 		memory_ = bb_body_memory_new(&m);
 		set_config(Document());
 		start();
@@ -247,6 +249,17 @@
 		return answer;
 	}
 
+	std::string read_to_end()
+	{
+		std::string answer;
+		char buffer[4096];
+		ssize_t n;
+
+		while ((n = recv(fd_, buffer, sizeof(buffer), 0)) > 0)
+			answer.append(buffer, (size_t)n);
+		return answer;
+	}
+
 	// Sends bytes on a new connection and reads until it ends, or until
 	// the text @last was received.
 	std::string send_and_read(const std::string &sent,
@@ -321,6 +334,7 @@
 
 	struct bb_body_memory *memory_ = nullptr;
 	int64_t stall_us_ = 60000000;
+	uint64_t memory_limit_ = 60000;
 	// Empty for the target of the request.
 	std::string answer_ = "done";
 	bool current_ = true;
@@ -589,15 +603,156 @@
 	// With "Expect: 100-continue" the refusal comes in place of the 100.
 	EXPECT_EQ("401 not-run", ask("POST /book", "Expect: 100-continue\r\n"
 						   "Content-Length: 9\r\n"));
-	// Of a body beyond the limit, the rest is not read: the connection is
-	// closed, and the send may fail.
+	// A body beyond the limit is answered before it is in, and the rest is
+	// not read: the connection is closed, and the send may fail.
 	EXPECT_EQ("401 not-run", ask("GET /book", ""));
 	r = request("POST /book", "", std::string(3 << 20, 'x'));
 	(void)!send(fd_, r.data(), r.size(), MSG_NOSIGNAL);
-	EXPECT_GE(0, recv(fd_, &r[0], 1, 0));
+	r = read_to_end();
+	EXPECT_EQ("401 not-run", status(r));
+	EXPECT_NE(std::string::npos, r.find("Connection: close"));
 	EXPECT_EQ(1u, submitted());
 }
 
+namespace
+{
+
+// Callers that send the whole of a long request and then wait for the answer.
+class FrontLongBody : public Front
+{
+      protected:
+	void SetUp() override
+	{
+		Document d;
+		const std::string old = "\"max_body_bytes\":65536";
+
+		// The route "profile" keeps the smaller limit.
+		for (size_t at : { d.routes.rfind(old), d.routes.find(old) })
+			d.routes.replace(at, old.size(),
+					 "\"max_body_bytes\":8388608");
+		d.version = "8";
+		memory_limit_ = 64 << 20;
+		Front::SetUp();
+		set_config(d);
+	}
+
+	// The status of a request whose body of @size bytes is sent whole.
+	std::string whole(const std::string &line, const std::string &headers,
+			  size_t size)
+	{
+		ask("GET /book", "");
+		return status(send_raw(
+			request(line, headers, std::string(size, 'x'))));
+	}
+
+	std::string whole_in_chunks(const std::string &line,
+				    const std::string &headers, int chunks)
+	{
+		const std::string chunk =
+			"10000\r\n" + std::string(65536, 'x') + "\r\n";
+		std::string body;
+
+		for (int i = 0; i < chunks; i++)
+			body += chunk;
+		ask("GET /book", "");
+		return status(send_raw(
+			request(line,
+				headers + "Transfer-Encoding: chunked\r\n",
+				"") +
+			body + "0\r\n\r\n"));
+	}
+};
+
+} // namespace
+
+// Guards against a refused request that was sent whole and ends without an
+// answer because its body is long.
+TEST_F(FrontLongBody, RefusedRequestIsAnswered)
+{
+	for (size_t size : { 900000, 1200000, 3000000, 8000000 }) {
+		EXPECT_EQ("401 not-run", whole("POST /book", "", size)) << size;
+		EXPECT_EQ("405 not-run", whole("POST /none", KEY, size))
+			<< size;
+	}
+	EXPECT_EQ("401 not-run", whole_in_chunks("POST /book", "", 32));
+	EXPECT_EQ("405 not-run", whole_in_chunks("POST /none", KEY, 120));
+	EXPECT_EQ("413 not-run", whole("GET /book/profile", KEY, 70000));
+	EXPECT_EQ("413 not-run", whole("GET /book/profile", KEY, 8000000));
+	EXPECT_EQ("413 not-run",
+		  whole_in_chunks("GET /book/profile", KEY, 100));
+	EXPECT_EQ("400 not-run",
+		  whole("POST /book", KEY + "X-Copy: bbk_1\r\n", 8000000));
+	EXPECT_EQ("431 not-run",
+		  whole("POST /book/" + std::string(9000, 'a'), KEY, 8000000));
+	current_ = false;
+	EXPECT_EQ("503 not-run", whole("POST /book", KEY, 8000000));
+	EXPECT_EQ("503 not-run", whole_in_chunks("POST /book", KEY, 100));
+	EXPECT_EQ(0u, submitted());
+}
+
+// Guards against a long request that gets no answer because a configuration
+// takes its key away, or lowers the limit, while its body is on the way.
+TEST_F(FrontLongBody, ChangeBesideTheBodyIsAnswered)
+{
+	const std::string text =
+		request("POST /book", KEY, std::string(3000000, 'x'));
+	Document d;
+
+	ask("GET /book", "");
+	EXPECT_EQ(2000000, send(fd_, text.data(), 2000000, MSG_NOSIGNAL));
+	d.version = "9";
+	set_config(d);
+	EXPECT_EQ("413 not-run", status(send_raw(text.substr(2000000))));
+	d.version = "10";
+	d.accounts = account_row(2, 2.5);
+	set_config(d);
+	EXPECT_EQ("401 not-run", whole("POST /book", KEY, 3000000));
+	EXPECT_EQ(0u, submitted());
+}
+
+// Guards against a refused body that is read for longer than any body may be.
+TEST_F(FrontLongBody, RefusedBodyWithoutEndIsCutOff)
+{
+	const std::string chunk =
+		"10000\r\n" + std::string(65536, 'x') + "\r\n";
+	ssize_t n = 1;
+
+	ask("GET /book", "");
+	send_raw("POST /book HTTP/1.1\r\nHost: h\r\n"
+		 "Transfer-Encoding: chunked\r\n\r\n" +
+		 [&] {
+			 std::string all;
+
+			 for (int i = 0; i < 20; i++)
+				 all += chunk;
+			 return all;
+		 }());
+	for (int i = 0; i < 2000 && n > 0; i++)
+		n = send(fd_, chunk.data(), chunk.size(), MSG_NOSIGNAL);
+	EXPECT_GT(0, n);
+}
+
+// Guards against a refusal that a caller does not get because it has closed its
+// sending direction.
+TEST_F(FrontLongBody, HalfClosedCallerIsAnswered)
+{
+	for (size_t size : { 1000, 100000, 900000, 3000000 }) {
+		std::string answer, text = request("POST /book", "",
+						   std::string(size, 'x'));
+		char buffer[4096];
+		ssize_t n;
+
+		ask("GET /book", "");
+		EXPECT_EQ((ssize_t)text.size(),
+			  send(fd_, text.data(), text.size(), MSG_NOSIGNAL));
+		shutdown(fd_, SHUT_WR);
+		n = recv(fd_, buffer, sizeof(buffer), 0);
+		if (n > 0)
+			answer.assign(buffer, (size_t)n);
+		EXPECT_EQ("401 not-run", status(answer)) << size;
+	}
+}
+
 // Guards against equal hashes for idempotency keys of different accounts or
 // routes.
 TEST_F(Front, IdempotencyKeysAreSeparate)
@@ -783,6 +938,21 @@
 	EXPECT_EQ(0u, used());
 }
 
+// Guards against a connection that stays because its caller was refused and never
+// sends the rest.
+TEST_F(FrontStall, RefusedCallerThatStopsShortIsCutOff)
+{
+	ask("GET /book", "");
+	EXPECT_EQ("401 not-run",
+		  status(send_raw("POST /book HTTP/1.1\r\nHost: h\r\n"
+				  "Content-Length: 2000000\r\n\r\nx")));
+	EXPECT_EQ(1u, bb_front_requests(front_));
+	while (bb_front_requests(front_)) {
+		g_usleep(2000);
+		bb_body_memory_tick(memory_, bb_clock_now_us());
+	}
+}
+
 // Guards against responses that wait for callers which do not read, and against
 // one that is damaged because it is passed on in blocks.
 TEST_F(FrontStall, ResponseToAStalledCallerGivesWay)
