Executor: a head that ends early is no response

What callers saw: a backend server closed its connection inside the head of its answer, or answered 101, and the connection of the caller was closed with neither an answer nor a refusal.

Cause: libcurl 7.88 reports success for a response whose connection closes after the status line and a complete or partial header line, and for a 101 that nobody asked for. The executor took its word: the execution ended as "done" with status 0. The entry node passed that on, libmicrohttpd refuses to queue a response with such a status, and the callback's MHD_NO closes the connection. Nothing was logged.

Without the end of a final head there is now no response: the execution is "broken" (502, may have run; an idempotent request is tried elsewhere). A 101 ends the transfer and its connection, which libcurl would have kept.

Executor.IncompleteHeadIsNoResponse failed before in 16 of its 18 cases ("done", or "truncated" without the dialect's close_ends_body, with status 0) and passes; the other tests of test_executor pass.

--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -40,6 +40,8 @@
 #define IDLE_CONNECTIONS_MAX 256L
 /* Largest status that HTTP has; libcurl rejects those below 100. */
 #define HTTP_STATUS_MAX 599
+/* Status of a connection that is no longer HTTP, which no request asks for. */
+#define HTTP_SWITCHING_PROTOCOLS 101
 /* Status of a server that is not the one the request is for. */
 #define HTTP_MISDIRECTED 421
 /*
@@ -171,6 +173,10 @@
 		return BB_EXECUTION_BROKEN;
 	if (x->ended == SENT_ALREADY)
 		return BB_EXECUTION_BROKEN;
+	/* libcurl also takes a head that the connection cut off, and that of a
+	 * 101, for a response. */
+	if (code == CURLE_OK && !x->head_complete)
+		return BB_EXECUTION_BROKEN;
 	if (x->head_complete && status == HTTP_MISDIRECTED &&
 	    x->dialect->backend_id)
 		return BB_EXECUTION_MISDIRECTED;
@@ -608,6 +614,9 @@
 
 		curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
 		x->head_complete = status >= 200;
+		/* libcurl would wait for a body and keep the connection. */
+		if (status == HTTP_SWITCHING_PROTOCOLS)
+			return 0;
 		return continue_unless_foreign(x, n);
 	}
 	g_string_append_len(x->response_head, data, (gssize)n);
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -279,6 +279,32 @@
 		  execute(kOk + "Content-Length: 9\r\n\r\nbody").end);
 }
 
+// Guards against a head that ends early being passed on as a response with
+// status 0, which closes the connection of the caller without an answer.
+TEST(Executor, IncompleteHeadIsNoResponse)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+	const std::string switched = "HTTP/1.1 101 Switching Protocols\r\n"
+				     "X-Id: one\r\nConnection: Upgrade\r\n";
+
+	for (const std::string &answer :
+	     { ok, kOk, kOk + "Content-Length: 0\r\n",
+	       kOk + "Content-Length: 0\r\n\r", kOk + "Content-Len",
+	       "HTTP/1.1 100 Continue\r\n\r\n" + kOk,
+	       std::string("HTTP/1.1 503 Busy\r\nX-Id: one\r\n"
+			   "X-Not-Run: 1\r\n"),
+	       switched + "\r\nbody",
+	       switched + "Content-Length: 0\r\n\r\n" }) {
+		for (const struct bb_dialect *d :
+		     { &kDialect, (const struct bb_dialect *)nullptr }) {
+			Result r = execute(answer, false, d);
+
+			EXPECT_EQ(BB_EXECUTION_BROKEN, r.end) << answer;
+			EXPECT_EQ(0u, r.status) << answer;
+		}
+	}
+}
+
 // Guards against a late response to an earlier request being passed on as the
 // response to this one.
 TEST(Executor, ResponseToAnotherRequest)
