Front: a request id that is not UTF-8 no longer ends the process

What callers saw: all requests of a node ended without an answer, and the process was gone (SIGSEGV), after one refused request whose X-Request-Id was not UTF-8. An id in UTF-8 that is longer than 36 bytes does it as well if it is cut off inside a character.

Cause: the body of a refusal has the caller's request id. jansson refuses text that is not UTF-8, so that json_pack() and json_dumps() return NULL, and its length was taken. Spans already leave such an id out.

The body now has the id with the invalid bytes replaced; the header Baobabward-Request-Id and what is passed on stay as the caller sent them.

--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -19,6 +19,8 @@
 static char *problem_body(const struct bb_call *c)
 {
 	const struct bb_answer *a = &c->answer;
+	/* Callers choose the id; jansson takes no invalid UTF-8. */
+	char *id = g_utf8_make_valid(c->id, -1);
 	char type[96];
 	json_t *o;
 	char *s;
@@ -28,9 +30,10 @@
 	o = json_pack("{s:s, s:s, s:i, s:s, s:s}", "type", type, "title",
 		      bb_reason_string[a->reason], "status", (int)a->status,
 		      "verdict", bb_verdict_string[a->verdict], "request_id",
-		      c->id);
+		      id);
 	s = json_dumps(o, JSON_COMPACT);
 	json_decref(o);
+	g_free(id);
 	return s;
 }
 
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -1035,6 +1035,24 @@
 	EXPECT_EQ("401 not-run", ask("GET /book", "X-Key: unknown\r\n"));
 }
 
+// Guards against the end of the process by a request id that is not UTF-8, as
+// sent or because it is cut off.
+TEST_F(FrontDialect, RequestIdNeedNotBeUtf8)
+{
+	for (const std::string &id :
+	     { std::string("a\xff"), std::string("\xc3"),
+	       std::string(35, 'a') + "\xc3\xa4" }) {
+		std::string answer;
+
+		EXPECT_EQ("401 not-run",
+			  ask("GET /book", "X-Id: " + id + "\r\n"));
+		answer = send_raw(
+			request("GET /none", "X-Id: " + id + "\r\n", ""));
+		EXPECT_EQ("401 not-run", status(answer));
+		EXPECT_NE(std::string::npos, answer.find("unauthorized"));
+	}
+}
+
 // Guards against a key that gets into logs and problem bodies because the
 // caller's request id contains it.
 TEST_F(FrontDialect, RequestIdWithKeyIsRefused)
