Front: heads that do not fit together are answered

What callers saw: a request with large headers whose response has large headers ran, and the connection of its caller was closed with neither an answer nor a refusal. So it was with a response head over 32 KiB, of which the executor takes up to 64 KiB, for every request.

Cause: libmicrohttpd builds the head of a response in the memory of the connection (32 KiB), where the head of the request still is. If it does not fit, libmicrohttpd closes the connection, with a line in its own log only (level debug here).

The size of both heads is now compared before the response is queued; one that does not fit becomes 502 with the verdict "ran", and event=response_head_too_large tells the sizes.

Open: a request whose head leaves less than the size of a refusal (about 32,410 to 32,560 bytes in one header) still gets no answer; larger ones get 431.

--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -16,6 +16,11 @@
  * seen. */
 #define RESPONSE_BLOCK_BYTES (32u * 1024)
 
+/* What libmicrohttpd keeps of a header, argument or cookie besides its text. */
+#define REQUEST_VALUE_BYTES 64u
+/* Status line and headers that the node or libmicrohttpd adds to a response. */
+#define RESPONSE_FIXED_BYTES 512u
+
 static char *problem_body(const struct bb_call *c)
 {
 	const struct bb_answer *a = &c->answer;
@@ -137,6 +142,67 @@
 		a->status = 503;
 }
 
+static enum MHD_Result add_trailer_bytes(void *data, enum MHD_ValueKind kind,
+					 const char *name, const char *value)
+{
+	size_t *bytes = data;
+
+	(void)kind;
+	*bytes += strlen(name) + (value ? strlen(value) : 0);
+	return MHD_YES;
+}
+
+/* Memory of the connection that its request takes. */
+static size_t request_bytes(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	const char *cookies = MHD_lookup_connection_value(
+		connection, MHD_HEADER_KIND, "Cookie");
+	int values = MHD_get_connection_values(
+		connection,
+		(enum MHD_ValueKind)(MHD_HEADER_KIND | MHD_COOKIE_KIND |
+				     MHD_GET_ARGUMENT_KIND | MHD_FOOTER_KIND),
+		NULL, NULL);
+	size_t bytes = info ? info->header_size : 0;
+
+	MHD_get_connection_values(connection, MHD_FOOTER_KIND,
+				  add_trailer_bytes, &bytes);
+	/* Cookies are split in a copy. */
+	return bytes + (cookies ? strlen(cookies) + 1 : 0) +
+	       (size_t)MAX(0, values) * REQUEST_VALUE_BYTES;
+}
+
+static size_t response_bytes(const struct bb_answer *a)
+{
+	size_t bytes = RESPONSE_FIXED_BYTES;
+
+	for (guint i = 0; a->headers && i < a->headers->len; i++) {
+		const struct bb_header *h =
+			&g_array_index(a->headers, struct bb_header, i);
+
+		bytes += h->name.size + strlen(": ") + h->value.size +
+			 strlen("\r\n");
+	}
+	return bytes;
+}
+
+/* libmicrohttpd would close the connection without a response. */
+static void fail_if_head_is_too_large(struct bb_call *c)
+{
+	size_t request = request_bytes(c->connection);
+	size_t response = response_bytes(&c->answer);
+
+	if (request + response <= BB_CONNECTION_MEMORY_BYTES)
+		return;
+	bb_log_event(BB_LOG_FRONT, G_LOG_LEVEL_INFO, c->id,
+		     "response_head_too_large",
+		     "status=%u response_bytes=%zu request_bytes=%zu limit=%u",
+		     c->answer.status, response, request,
+		     BB_CONNECTION_MEMORY_BYTES);
+	bb_call_refuse(c, BB_VERDICT_RAN, BB_REASON_BACKEND_FAILED, 0);
+}
+
 static const char *or_dash(const char *s)
 {
 	return s && *s ? s : "-";
@@ -172,6 +238,8 @@
 	struct MHD_Response *r;
 	enum MHD_Result rc;
 
+	if (a->reason == BB_REASON_NONE)
+		fail_if_head_is_too_large(c);
 	if (dialect->not_run_as_503)
 		answer_503_if_not_run(a);
 	r = a->reason == BB_REASON_NONE ? backend_response(c, memory) :
--- a/src/libnode/answer.h
+++ b/src/libnode/answer.h
@@ -12,6 +12,9 @@
 #include "libnode/call.h"
 #include "libnode/request_history.h"
 
+/* Memory of a connection of a caller: the head of a request, and of its response. */
+#define BB_CONNECTION_MEMORY_BYTES (32u * 1024)
+
 /**
  * bb_answer_queue() - queue the answer of a call on its connection.
  * @c: call with its answer set
@@ -19,6 +22,9 @@
  * @dialect: names of headers
  * @history: list to which refusals and failures are added, may be NULL
  * @memory: accounting in which the call has a claim for the response; may be NULL
+ *
+ * A response whose head does not fit into the memory of the connection is replaced
+ * by a failure with the verdict "ran".
  */
 enum MHD_Result bb_answer_queue(struct bb_call *c, bool close,
 				const struct bb_dialect *dialect,
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -156,6 +156,8 @@
 	uint64_t fingerprint;
 };
 
+const std::string KEY = "Authorization: Bearer bbk_1\r\n";
+
 class Front : public ::testing::Test
 {
       protected:
@@ -278,6 +280,28 @@
 		return status(answer);
 	}
 
+	// Status and verdict of a request with @nr headers, one of them a cookie, of
+	// @sent bytes together, whose answer has a header of @size bytes.
+	std::string ask_large(size_t nr, size_t sent, size_t size)
+	{
+		std::string headers = KEY + "Transfer-Encoding: chunked\r\n";
+		std::string answer;
+
+		for (size_t i = 0; i < nr; i++)
+			headers += (i ? "X-" + std::to_string(i) : "Cookie") +
+				   ": a=" + std::string(sent / nr, 'q') +
+				   "\r\n";
+		large_value_ = std::string(size, 'r');
+		answer = status(
+			send_raw(request("POST /book?a=1&b=2", headers, "") +
+				 "4\r\nbody\r\n0\r\n\r\n"));
+		if (answer != "200 ran" && answer != "502 ran") {
+			close(fd_);
+			fd_ = -1;
+		}
+		return answer;
+	}
+
 	static std::string request(const std::string &line,
 				   const std::string &headers,
 				   const std::string &body)
@@ -322,6 +346,8 @@
 	int64_t stall_us_ = 60000000;
 	// Empty for the target of the request.
 	std::string answer_ = "done";
+	// Header of the answer, none if the value is empty.
+	std::string large_name_ = "X-Large", large_value_;
 	bool current_ = true;
 	bool full_ = false;
 	const struct bb_dialect *dialect_ = nullptr;
@@ -370,7 +396,11 @@
 
 			self->calls_.push_back(s);
 		}
-		bb_call_answer(c, 200, nullptr, 0, &body);
+		struct bb_header large = { bytes(self->large_name_),
+					   bytes(self->large_value_) };
+
+		bb_call_answer(c, 200, &large,
+			       self->large_value_.empty() ? 0 : 1, &body);
 		c->state = BB_CALL_ANSWERED;
 		MHD_resume_connection(c->connection);
 		return true;
@@ -380,8 +410,6 @@
 	std::mutex mutex_;
 	std::vector<Submitted> calls_;
 };
-
-const std::string KEY = "Authorization: Bearer bbk_1\r\n";
 } // namespace
 
 // Guards against a request whose target, method, body or order of headers is
@@ -573,6 +601,32 @@
 	EXPECT_EQ(1u, submitted());
 }
 
+// Guards against a connection that is closed without an answer because the heads of
+// request and response do not fit into its memory together.
+TEST_F(Front, LargeHeadsAreAnswered)
+{
+	const size_t max = 33000;
+
+	for (size_t nr : { 1, 10, 100 })
+		for (size_t sent = 0; sent <= 24000; sent += 3000)
+			for (size_t size = 0; size <= max; size += 500) {
+				std::string got = ask_large(nr, sent, size);
+				bool fits = nr <= 10 && sent <= 3000 &&
+					    size <= 20000;
+
+				// libmicrohttpd itself refused the request.
+				if (got == "431")
+					continue;
+				if (fits || got != "502 ran")
+					EXPECT_EQ("200 ran", got)
+						<< nr << " headers, " << sent
+						<< " bytes, answer with "
+						<< size;
+				if (size == max)
+					EXPECT_EQ("502 ran", got);
+			}
+}
+
 // Guards against a refusal that a caller loses because the connection is reset
 // while it still sends the body.
 TEST_F(Front, RefusalsWaitForTheBody)
