Entry: a request over a limit of messages is no silent peer

Callers saw 504 peer-silent, not-run, within 60 ms for a single body of 17, 33, 60 or 64 MB that they sent to a host without the backend server; at the host beside it they got 200. 16 MiB were served at both.

Cause: the front admits a body up to max_body_bytes of the route (64 MiB on the users' platform), the codec of messages between nodes up to 16 MiB. The encoder refused the EXECUTE, and the entry side took every failed send for a node that does not answer: it dropped the session, recorded a time-out of the path to a node that works, and tried 16 times. A header value of more than 16 KiB ends the same way.

Change: the send callback reports why it failed. A message over a limit ends the attempt with a reason of its own, peer-limit (503, not run); session and path stay as they are. Another backend server is tried, since one beside this node can take the request. The reason is given at the entry node only and never sent, so nodes of an earlier version need not know it.

Entry.UnsendableRequestIsNoSilentPeer failed before: the call stayed open, waiting for the session that it had dropped.

--- a/src/libcore/verdict.c
+++ b/src/libcore/verdict.c
@@ -46,6 +46,7 @@
 	{ 503, BB_REASON_BACKEND_REFUSED },
 	{ 503, BB_REASON_MISDIRECTED },
 	{ 503, BB_REASON_BODY_MEMORY },
+	{ 503, BB_REASON_PEER_LIMIT },
 };
 
 static_assert(sizeof(reason_status) / sizeof(*reason_status) == BB_REASON_COUNT,
@@ -85,6 +86,7 @@
 	"backend-server-refused",
 	"misdirected",
 	"body-memory",
+	"peer-limit",
 };
 
 static_assert(sizeof(bb_reason_string) / sizeof(*bb_reason_string) ==
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -430,17 +430,26 @@
 {
 	struct bb_entry *e = t->entry;
 	struct bb_message m;
+	struct bb_error err;
 
 	t->receiver_incarnation = s->incarnation;
 	t->not_after_us = bb_session_not_after(s, t->call->deadline_us);
 	fill_execute(t, &m);
-	if (e->o.send(e->o.data, t->host, &m)) {
+	if (!e->o.send(e->o.data, t->host, &m, &err)) {
 		count_placed(t);
 		return;
 	}
-	s->established = false;
 	g_hash_table_remove(e->attempts, &t->id.sequence);
 	t->state = ATTEMPT_NONE;
+	/* The message is over a limit, which says nothing of the path. */
+	if (err.code == BB_ERROR_INVALID) {
+		bb_log(BB_LOG_TRAFFIC, G_LOG_LEVEL_INFO, t->call->id,
+		       "cannot pass the request on: %s", err.message);
+		bb_attempts_fail_current(t, BB_VERDICT_NOT_RUN,
+					 BB_REASON_PEER_LIMIT);
+		return;
+	}
+	s->established = false;
 	fail_unanswered(t, BB_VERDICT_NOT_RUN);
 }
 
@@ -544,12 +553,13 @@
 			 struct bb_session *s, int64_t now_us)
 {
 	struct bb_message m;
+	struct bb_error err;
 
 	if (s->hello_us && now_us - s->hello_us < HELLO_TIMEOUT_US)
 		return;
 	bb_session_hello(s, e->o.incarnation, e->snapshot->config->version,
 			 now_us, &m);
-	if (e->o.send(e->o.data, host, &m))
+	if (!e->o.send(e->o.data, host, &m, &err))
 		return;
 	s->hello_us = 0;
 	if (!e->hello_retry_timer)
@@ -616,6 +626,7 @@
 	struct bb_entry *e = t->entry;
 	struct bb_message m = { .type = BB_MESSAGE_CANCEL };
 	struct bb_reply_address to = { .local = true };
+	struct bb_error err;
 
 	t->state = ATTEMPT_CANCELLING;
 	m.cancel.id = t->id;
@@ -625,7 +636,7 @@
 	if (t->local)
 		bb_adjacent_cancel(e->o.adjacent, &to, &m.cancel);
 	else
-		e->o.send(e->o.data, t->host, &m);
+		e->o.send(e->o.data, t->host, &m, &err);
 }
 
 /* The time of the current step is over. */
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -33,7 +33,8 @@
  * @tracer: receives spans, NULL for none
  * @dialect: names of headers, NULL for the default
  * @notices: what backend servers said of themselves, NULL if they say nothing
- * @send: hands a message to the transport; false if it was certainly not sent
+ * @send: hands a message to the transport; -1 if it was certainly not sent, with
+ *        BB_ERROR_INVALID if it is over a limit of messages
  * @is_connected: whether the transport has a connection to a host
  * @retry_percent: retries allowed as a percentage of first attempts
  * @retry_slack: retries beyond @retry_percent that the whole fleet may save up;
@@ -67,7 +68,8 @@
 	struct bb_tracer *tracer;
 	const struct bb_dialect *dialect;
 	struct bb_notices *notices;
-	bool (*send)(void *data, uint32_t host, const struct bb_message *m);
+	int (*send)(void *data, uint32_t host, const struct bb_message *m,
+		    struct bb_error *err);
 	bool (*is_connected)(void *data, uint32_t host);
 	uint32_t retry_percent;
 	uint32_t retry_slack;
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -98,17 +98,17 @@
 	unsigned int tokens_pending;
 };
 
-static bool send_message(void *data, uint32_t host, const struct bb_message *m)
+static int send_message(void *data, uint32_t host, const struct bb_message *m,
+			struct bb_error *err)
 {
 	struct bb_traffic *t = data;
-	struct bb_error err;
 
 	if (!bb_transport_send(bb_endpoint_transport(t->endpoint), host, m,
-			       &err))
-		return true;
+			       err))
+		return 0;
 	if (m->type != BB_MESSAGE_HELLO)
 		bb_metrics_add(BB_METRIC_PEER_MESSAGES_DROPPED, 1);
-	return false;
+	return -1;
 }
 
 static bool is_connected(void *data, uint32_t host)
--- a/src/libroute/attempt.c
+++ b/src/libroute/attempt.c
@@ -136,6 +136,7 @@
 	case BB_REASON_STOPPING:
 	case BB_REASON_UNKNOWN_BACKEND:
 	case BB_REASON_PEER_SILENT:
+	case BB_REASON_PEER_LIMIT:
 		return true;
 	default:
 		return false;
--- a/src/libroute/retry.c
+++ b/src/libroute/retry.c
@@ -165,6 +165,7 @@
 	case BB_REASON_STOPPING:
 	case BB_REASON_UNKNOWN_BACKEND:
 	case BB_REASON_WRONG_INCARNATION:
+	case BB_REASON_PEER_LIMIT:
 		return BB_RETRY_REDIRECT;
 	case BB_REASON_BACKEND_CONNECT:
 	case BB_REASON_BACKEND_FAILED:
--- a/src/test_lib/entry_fixture.h
+++ b/src/test_lib/entry_fixture.h
@@ -52,15 +52,20 @@
 	std::string extra;
 	// Policies of the configuration.
 	std::string policies;
+	// Largest body that can be sent to other nodes, and the number of
+	// requests that were larger.
+	size_t largest_body = SIZE_MAX;
+	int unfit = 0;
+	// Body of the requests that are submitted.
+	std::string body;
 
 	explicit Entry(struct bb_entry_options o = {})
 	{
 		o.incarnation = 1;
 		o.sessions = sessions;
 		o.send = [](void *data, uint32_t host,
-			    const struct bb_message *m) {
-			((Entry *)data)->sent(host, m);
-			return true;
+			    const struct bb_message *m, struct bb_error *err) {
+			return ((Entry *)data)->sent(host, m, err);
 		};
 		o.is_connected = [](void *, uint32_t) { return true; };
 		o.finished = [](void *data, struct bb_call *c) {
@@ -118,10 +123,18 @@
 		bb_entry_configure(e, s);
 		bb_snapshot_put(s);
 	}
-	void sent(uint32_t host, const struct bb_message *m)
+	int sent(uint32_t host, const struct bb_message *m,
+		 struct bb_error *err)
 	{
 		const struct bb_message_execute &x = m->execute;
 
+		if (m->type == BB_MESSAGE_EXECUTE &&
+		    x.body.size > largest_body) {
+			unfit++;
+			return bb_error_set(err, BB_ERROR_INVALID,
+					    "field body is over its limit");
+		}
+
 		if (m->type == BB_MESSAGE_HELLO)
 			hellos[host]++;
 		if (m->type == BB_MESSAGE_EXECUTE)
@@ -132,6 +145,7 @@
 					     x.may_wait,
 					     x.limit_milli,
 					     x.cost_us });
+		return 0;
 	}
 	void answered(struct bb_call *c)
 	{
@@ -151,6 +165,8 @@
 		c->method = g_strdup("GET");
 		c->target = g_strdup("/book");
 		c->deadline_us = bb_clock_now_us() + timeout_us;
+		g_byte_array_append(c->body, (const guint8 *)body.data(),
+				    (guint)body.size());
 		g_snprintf(c->id, sizeof(c->id), "test");
 		bb_entry_submit(e, c);
 		return finished ? NULL : c->attempts;
--- a/src/test_lib/test_entry.cc
+++ b/src/test_lib/test_entry.cc
@@ -344,6 +344,33 @@
 	bb_adjacent_delete(o.adjacent);
 }
 
+// Guards against a request that is too large for a message to another node and
+// passes for a node that does not answer: callers saw 504 peer-silent, and the
+// path counted as failed.
+TEST(Entry, UnsendableRequestIsNoSilentPeer)
+{
+	Entry x(options());
+
+	x.leave_own_host();
+	x.welcome_all();
+	x.largest_body = 1000;
+	x.body = std::string(1001, 'x');
+	EXPECT_EQ(nullptr, x.submit("book", TIMEOUT_US));
+	ASSERT_TRUE(x.finished);
+	EXPECT_EQ(BB_REASON_PEER_LIMIT, x.answer.reason);
+	EXPECT_EQ(BB_VERDICT_NOT_RUN, x.answer.verdict);
+	EXPECT_EQ(503u, x.answer.status);
+	EXPECT_LE(4, x.unfit);
+	EXPECT_TRUE(x.executes.empty());
+	for (const char *host : { "h1", "h2", "h3", "h4" })
+		EXPECT_TRUE(bb_sessions_find(x.sessions, host)->established);
+	x.finished = false;
+	x.body = std::string(1000, 'x');
+	EXPECT_NE(nullptr, x.submit("book", TIMEOUT_US));
+	EXPECT_EQ(1u, x.executes.size());
+	EXPECT_TRUE(x.hellos.empty());
+}
+
 // Guards against a report that seems younger than it is, which would prolong a
 // hint, or that is taken for one of the future.
 TEST(Session, AgeHasBounds)
--- a/src/test_lib/test_retry.cc
+++ b/src/test_lib/test_retry.cc
@@ -19,10 +19,11 @@
 static int expected_class(const struct bb_retry_attempt &a, int64_t now)
 {
 	bool safe = a.idempotent || a.verdict == BB_VERDICT_NOT_RUN;
-	bool redirect = one_of(a.reason,
-			       { BB_REASON_EJECTED, BB_REASON_LEAVING,
-				 BB_REASON_STOPPING, BB_REASON_UNKNOWN_BACKEND,
-				 BB_REASON_WRONG_INCARNATION });
+	bool redirect =
+		one_of(a.reason,
+		       { BB_REASON_EJECTED, BB_REASON_LEAVING,
+			 BB_REASON_STOPPING, BB_REASON_UNKNOWN_BACKEND,
+			 BB_REASON_WRONG_INCARNATION, BB_REASON_PEER_LIMIT });
 	bool failure =
 		one_of(a.reason,
 		       { BB_REASON_BACKEND_CONNECT, BB_REASON_BACKEND_FAILED,
