Executor: send a body from where it was received

The smallest machines of the deployments have 160 MB, and a body of another node beside it does not fit then.

Cause: bb_executor_start() copied the body, although its owner, the call of this node or the message of another one, keeps it until the execution is done or cancelled, as it keeps the names and headers of the request.

Change: libcurl reads from the owner's bytes (CURLOPT_POSTFIELDS makes no copy). The adjacent side claims no memory for a body of this node, which has a claim of its own, and one time the size, not two, for one of another node.

Adjacent.CopiesOfBodiesShareTheMemory is now BodiesOfOtherNodesShareTheMemory: it expected a claim for the copy of a body of this node, which no longer exists. The same numbers are asked of bodies of other nodes, and that one of this node is not counted twice.

test_large_bodies_memory.sh allows a node one body and the 40 MB that it needs besides (100,352 kB) for bodies of 60 MB one after the other, and 160 MB for a small crowd through both nodes.

--- a/include/baobabward/body_memory.h
+++ b/include/baobabward/body_memory.h
@@ -1,7 +1,7 @@
 /*
  * Accounting of the memory that the bodies of a process take: requests that are
- * received from callers, requests of other nodes, copies on the way to backend
- * servers, and responses on the way to callers.
+ * received from callers, requests of other nodes, copies on the way to other
+ * nodes, and responses on the way to callers.
  *
  * Addresses callers that send many large bodies, whole or piece by piece, stop
  * short of their end and stay connected, until the process has no memory left.
@@ -54,8 +54,8 @@
 /**
  * enum bb_body_stage - where the body of a claim is.
  * @BB_BODY_RECEIVED: request body, received from a caller
- * @BB_BODY_FORWARDED: at the adjacent node: request of another node, and the
- *                     copies that are sent to backend servers
+ * @BB_BODY_FORWARDED: request of another node at the adjacent node, and the
+ *                     messages to other nodes until they are sent
  * @BB_BODY_RESPONSE: response on the way to a caller
  */
 enum bb_body_stage {
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -30,7 +30,7 @@
  * @reply_to: destination of its RESULT
  * @received: message that holds the memory of @request, may be NULL
  * @execution: set while it runs
- * @memory: claim on memory for the body and its copy
+ * @memory: claim on memory for the body of a request of another node
  * @spans: trace spans
  * @refusal: why its queue refused it
  * @started_us: when it was sent to the backend server
@@ -826,22 +826,18 @@
 	bb_adjacent_apply_rate(b, now_us);
 }
 
-/*
- * Claims the memory of the body: the message of another node, and the copy that
- * the executor sends. The copy is claimed at once, so that no request fails for
- * it after it has waited.
- */
+/* Claims the memory of a body that another node sent. The one of a call of this
+ * node has a claim of its own. */
 static bool claim_body(struct bb_adjacent *a, struct bb_job *job,
 		       int64_t now_us)
 {
 	uint64_t size = job->request.body.size;
 
-	if (!size)
+	if (!size || job->reply_to.local)
 		return true;
 	bb_body_claim_begin(a->o.memory, &job->memory, BB_BODY_FORWARDED, 0, 0,
 			    now_us);
-	return bb_body_claim_resize(a->o.memory, &job->memory,
-				    job->received ? 2 * size : size, now_us);
+	return bb_body_claim_resize(a->o.memory, &job->memory, size, now_us);
 }
 
 void bb_adjacent_execute(struct bb_adjacent *a,
--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -72,7 +72,6 @@
  * struct bb_execution - a request in progress.
  * @headers: request headers
  * @origin: URL of the backend server without the target
- * @body: copy of the request body
  * @max_body: limit on the response body in bytes
  * @connection: connection in use
  * @at_most_once: it must not be sent twice
@@ -102,7 +101,6 @@
 	struct curl_slist *headers;
 	char *origin;
 	char *url;
-	char *body;
 	size_t max_body;
 	struct bb_connection_use connection;
 	bool at_most_once;
@@ -143,7 +141,6 @@
 	curl_slist_free_all(x->headers);
 	g_free(x->origin);
 	g_free(x->url);
-	g_free(x->body);
 	g_free(x->request_id);
 	g_free(x->foreign_id);
 	g_byte_array_unref(x->response_body);
@@ -725,7 +722,9 @@
 		curl_easy_setopt(c, CURLOPT_POST, 1L);
 		curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE_LARGE,
 				 (curl_off_t)r->body.size);
-		curl_easy_setopt(c, CURLOPT_POSTFIELDS, x->body);
+		/* libcurl reads the bytes from here and makes no copy. */
+		curl_easy_setopt(c, CURLOPT_POSTFIELDS,
+				 r->body.size ? r->body.data : "");
 	}
 	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
 	set_headers(x, r);
@@ -773,10 +772,6 @@
 	x->origin = g_strdup(r->url);
 	x->url = g_strdup_printf("%s%.*s", r->url, (int)r->target.size,
 				 r->target.data);
-	x->body = g_malloc(r->body.size + 1);
-	if (r->body.size)
-		memcpy(x->body, r->body.data, r->body.size);
-	x->body[r->body.size] = '\0';
 	x->response_body = g_byte_array_new();
 	x->response_head = g_string_new(NULL);
 	x->response_headers =
--- a/src/libnode/executor.h
+++ b/src/libnode/executor.h
@@ -90,13 +90,14 @@
 extern const char *const bb_body_end_string[];
 
 /**
- * struct bb_execution_request - what to send; copied by bb_executor_start().
+ * struct bb_execution_request - what to send; bb_executor_start() copies all but
+ * the body.
  * @url: http://IP:port of the backend server
  * @target: path and query
  * @method: HTTP method
  * @headers: headers to send
  * @headers_nr: number of @headers
- * @body: request body
+ * @body: request body; stays valid until the execution is done or cancelled
  * @traceparent: value of the header of that name, empty to send none
  * @timeout_us: limit on the time of the whole exchange
  * @max_body: limit on the response body in bytes
--- /dev/null
+++ b/src/test_e2e/test_large_bodies_memory.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Nodes of machines with 160 MB pass on bodies of 60 MB, one at a time and several
+# at once through both nodes. Guards against copies of a body on its way, and against
+# a node that takes a large body from a caller and another one from a node.
+build=$1
+. src/test_e2e/crowd.sh
+
+fleet_max_body_bytes=67108864
+large_bytes=60000000
+large_callers=6
+# One body, and the 40 MB that a node needs besides.
+one_body_mb=$((large_bytes / 1048576 + 1 + 40))
+crowd_memory_mb=160
+fleet_flags="--body-memory-mb 48 --freshness-ms 10000"
+fleet_start 2 2 || exit 1
+head -c "$large_bytes" /dev/zero >"$fleet_dir/large"
+head -c 1024 /dev/zero >"$fleet_dir/booking"
+for i in 1 2 3 4; do
+	for h in 0 1; do
+		expect "body $i at host$h" "200 ran" \
+			"$(fleet_call $h POST /orders "one-$h-$i" \
+				--data-binary "@$fleet_dir/large")"
+	done
+done
+crowd_expect_bounds "one at a time" "$one_body_mb"
+
+for ((i = 0; i < large_callers; i++)); do
+	fleet_call_background $((i % 2)) POST /orders "crowd-$i" \
+		-H "Expect:" --data-binary "@$fleet_dir/large"
+done
+expect "booking beside the crowd" "200 ran" \
+	"$(fleet_call 0 POST /orders beside --data-binary "@$fleet_dir/booking")"
+fleet_wait_calls
+for ((i = 0; i < large_callers; i++)); do
+	echo "crowd-$i: $(fleet_answer "crowd-$i")"
+	expect "crowd-$i: verdict" yes "$(fleet_check_verdict "crowd-$i")"
+done
+crowd_expect_bounds "several at once" "$crowd_memory_mb"
+for h in 0 1; do
+	expect "body after the crowd at host$h" "200 ran" \
+		"$(fleet_call $h POST /orders "after-$h" \
+			--data-binary "@$fleet_dir/large")"
+done
+crowd_expect_bounds "after the crowd" "$crowd_memory_mb"
+fleet_finish
--- a/src/test_lib/test_adjacent.cc
+++ b/src/test_lib/test_adjacent.cc
@@ -24,6 +24,8 @@
 	std::vector<struct bb_message_result> results;
 	struct bb_adjacent *a;
 	std::string body;
+	// Requests come from this node, not from another one.
+	bool local = true;
 
 	explicit Adjacent(struct bb_body_memory *memory = nullptr)
 	{
@@ -73,7 +75,7 @@
 		struct bb_message_execute x = {};
 		size_t before = results.size();
 
-		to.local = true;
+		to.local = local;
 		x.id.incarnation = 5;
 		x.id.sequence = sequence;
 		x.receiver_incarnation = 7;
@@ -209,9 +211,10 @@
 	}
 }
 
-// Guards against copies of bodies that take more than the limit, small requests
-// that are refused for it, and memory that stays counted after a request.
-TEST(Adjacent, CopiesOfBodiesShareTheMemory)
+// Guards against bodies of other nodes that take more than the limit, small
+// requests that are refused for it, memory that stays counted after a request,
+// and bodies of this node that are counted twice.
+TEST(Adjacent, BodiesOfOtherNodesShareTheMemory)
 {
 	struct bb_body_memory_options o = {};
 	struct bb_body_memory_use use;
@@ -222,6 +225,7 @@
 	{
 		Adjacent x(m);
 
+		x.local = false;
 		x.body = std::string(100000, 'x');
 		for (uint64_t i = 1; i <= 3; i++)
 			EXPECT_EQ(BB_REASON_NONE, x.execute(i));
@@ -232,6 +236,11 @@
 		EXPECT_EQ(BB_REASON_NONE, x.execute(5));
 		bb_body_memory_use(m, &use);
 		EXPECT_EQ(301024u, use.stages[BB_BODY_FORWARDED]);
+		x.local = true;
+		x.body = std::string(100000, 'x');
+		EXPECT_EQ(BB_REASON_NONE, x.execute(6));
+		bb_body_memory_use(m, &use);
+		EXPECT_EQ(301024u, use.stages[BB_BODY_FORWARDED]);
 	}
 	bb_body_memory_use(m, &use);
 	EXPECT_EQ(0u, use.stages[BB_BODY_FORWARDED]);
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cstring>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -125,8 +126,56 @@
 
 const std::string kOk = "HTTP/1.1 200 OK\r\nX-Id: one\r\n";
 
+// A request body that its owner frees when the execution is done.
+struct OwnedBody {
+	std::unique_ptr<std::string> body;
+	Result result;
+};
+
+void free_body(void *data, const struct bb_execution_result *x)
+{
+	auto *to = (OwnedBody *)data;
+
+	to->body.reset();
+	keep_result(&to->result, x);
+}
+
 } // namespace
 
+// Guards against a body that is read after its owner has freed it, when the
+// backend server answers before it has read all of it.
+TEST(Executor, BodyIsNotReadAfterTheAnswer)
+{
+	GMainContext *context = g_main_context_new();
+	struct bb_executor *e = bb_executor_new(context, nullptr);
+	struct bb_header id = { { "X-Id", 4 }, { "one", 3 } };
+	OwnedBody owned;
+
+	owned.body = std::make_unique<std::string>(16u << 20, 'x');
+	{
+		Server s(kOk + "Content-Length: 2\r\n\r\nok", false);
+		struct bb_execution_request r = {};
+
+		r.url = s.url.c_str();
+		r.target = { "/x", 2 };
+		r.method = { "POST", 4 };
+		r.headers = &id;
+		r.headers_nr = 1;
+		r.body = { owned.body->data(), owned.body->size() };
+		r.timeout_us = 10000000;
+		r.max_body = 100;
+		r.dialect = &kDialect;
+		bb_executor_start(e, &r, free_body, &owned, nullptr);
+		while (!owned.result.done)
+			g_main_context_iteration(context, TRUE);
+	}
+	while (g_main_context_iteration(context, FALSE))
+		;
+	EXPECT_EQ(nullptr, owned.body);
+	bb_executor_delete(e);
+	g_main_context_unref(context);
+}
+
 namespace
 {
 
