Entry: a node that said that it stops is not taken for a silent one

Cause: a node that has announced its stop and has ended does not answer the HELLO that comes before a request. Each attempt then ended as peer-silent, and the caller got 504, although its request was never sent and other nodes were told of the stop.

Change: the session remembers the notice until the next WELCOME; an attempt that was not sent because such a node did not answer ends as stopping, which is 503 with Retry-After. The node is still asked until the time of the route is over, since it may start again.

What callers saw: 504 not-run after 2.0 s (10 attempts of 0.2 s). In e2e_test_drain_serves_peers this happened when the machine was so slow that the last request, meant for the second between the notice and the end of the node, came after its end: with 2.5 and 3.5 s in place of 1.2 s before that request it is 504 both times; with 1.2 s 503.

Tests: Entry.RequestToStoppedHostsIsRefusedAsStopping and the last request of e2e_test_drain_serves_peers, sent when the node has ended, failed before with 504 and pass.

--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -394,13 +394,29 @@
 		bb_attempts_refuse(t, t->history.verdict, reason);
 }
 
-/* The node did not answer; the next attempt may go to another one. */
+static struct bb_session *attempt_session(const struct bb_attempts *t)
+{
+	const struct bb_entry *e = t->entry;
+
+	if (t->local || t->host == BB_NO_ROW)
+		return NULL;
+	return bb_sessions_find(e->o.sessions,
+				e->snapshot->config->hosts[t->host].name);
+}
+
+/* The node did not answer, maybe because it has ended after it said that it
+ * stops; the next attempt may go to another one. */
 static void fail_unanswered(struct bb_attempts *t, enum bb_verdict verdict)
 {
+	const struct bb_session *s = attempt_session(t);
+	bool stopped = verdict == BB_VERDICT_NOT_RUN && s && s->stopping;
+
 	if (!t->local)
 		bb_entry_record_path_timeout(t->entry, t->host, t->sent_us,
 					     bb_clock_now_us());
-	bb_attempts_fail_current(t, verdict, BB_REASON_PEER_SILENT);
+	bb_attempts_fail_current(t, verdict,
+				 stopped ? BB_REASON_STOPPING :
+					   BB_REASON_PEER_SILENT);
 }
 
 static void send_local(struct bb_attempts *t)
@@ -557,16 +573,6 @@
 			e->o.context, HELLO_RETRY_US, on_hello_retry, e);
 }
 
-static struct bb_session *attempt_session(const struct bb_attempts *t)
-{
-	const struct bb_entry *e = t->entry;
-
-	if (t->local || t->host == BB_NO_ROW)
-		return NULL;
-	return bb_sessions_find(e->o.sessions,
-				e->snapshot->config->hosts[t->host].name);
-}
-
 static gboolean on_hello_retry(gpointer data)
 {
 	struct bb_entry *e = data;
--- a/src/libnode/entry_paths.c
+++ b/src/libnode/entry_paths.c
@@ -209,6 +209,7 @@
 	if (!s->established && !s->hello_us)
 		return;
 	s->established = false;
+	s->stopping = true;
 	s->hello_us = 0;
 	avoid_host(e, host);
 	all = g_hash_table_get_keys(e->calls);
--- a/src/libnode/session.c
+++ b/src/libnode/session.c
@@ -63,6 +63,7 @@
 	if (!s->hello_us || w->nonce != s->nonce)
 		return false;
 	s->established = true;
+	s->stopping = false;
 	s->incarnation = w->incarnation;
 	s->receiver_us = w->receiver_clock_us;
 	s->welcome_us = now_us;
--- a/src/libnode/session.h
+++ b/src/libnode/session.h
@@ -23,6 +23,8 @@
  * @hello_us: own clock when the last HELLO was sent, 0 when it was answered
  * @last_heard_us: own clock when the last WELCOME or RESULT arrived, 0 for
  *		   never
+ * @stopping: the node said that it accepts no more requests, and no WELCOME has
+ *	      arrived since
  * @silent: a HELLO was not answered, and nothing has arrived since
  * @used_us: not used
  * @nonce: of the last HELLO
@@ -39,6 +41,7 @@
 	int64_t welcome_us;
 	int64_t hello_us;
 	int64_t last_heard_us;
+	bool stopping;
 	bool silent;
 	int64_t used_us;
 	uint64_t nonce;
--- a/src/test_e2e/test_drain_serves_peers.sh
+++ b/src/test_e2e/test_drain_serves_peers.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # A node gets SIGTERM while a caller holds a connection to it open. Guards
 # against a backend server that gets no request from the signal until the node
-# beside it has started again, although the node runs on for its caller.
+# beside it has started again, although the node runs on for its caller, and
+# against a request after it that is answered 504, as if it might have run.
 build=$1
 . src/test_e2e/fleet.sh
 
@@ -22,5 +23,7 @@
 	"$(fleet_call 1 POST /orders after -d x=1)"
 wait "${fleet_pid[host0]}"
 expect "exit code" 0 $?
+expect "request after host0 has ended" "503 not-run" \
+	"$(fleet_call 1 POST /orders ended -d x=1)"
 exec {caller}>&-
 fleet_finish
--- a/src/test_lib/test_entry.cc
+++ b/src/test_lib/test_entry.cc
@@ -112,6 +112,25 @@
 	EXPECT_EQ(100u + x.executes.back().host, x.executes.back().incarnation);
 }
 
+// Guards against a request that is refused as unanswered, with 504, when the
+// nodes that it might go to said that they stop and have ended since.
+TEST(Entry, RequestToStoppedHostsIsRefusedAsStopping)
+{
+	Entry x(options());
+
+	x.leave_own_host();
+	x.welcome_all();
+	for (uint32_t i = 1; i < 5; i++)
+		bb_entry_host_stopping(x.e, i);
+	x.submit("book", 500 * BB_US_PER_MS);
+	while (!x.finished)
+		g_main_context_iteration(NULL, TRUE);
+	EXPECT_FALSE(x.hellos.empty());
+	EXPECT_EQ(BB_VERDICT_NOT_RUN, x.answer.verdict);
+	EXPECT_EQ(BB_REASON_STOPPING, x.answer.reason);
+	EXPECT_EQ(503u, x.answer.status);
+}
+
 // Guards against a HELLO, and its round trip, before every request.
 TEST(Entry, SendsAtOnceToAHostThatAnsweredRecently)
 {
