Relay: a peer that shared the outage is asked after it

Cause: a node that the store does not answer asks any peer for changes at once. The peer's refusal as stale, due to the same outage, kept it from being asked for 1 s or longer. When the store answered again with a compacted history, a node whose reader was refused so listed all items by itself while the reader listed them as well.

Change: such a refusal does not count against the peer. Others (no answer, another era, behind, and stale where the peer was asked to wait) do as before.

--- a/src/libmember/relay.c
+++ b/src/libmember/relay.c
@@ -98,6 +98,7 @@
  * @read_nonce: nonce of the request to @upstream, 0 while there is none
  * @read_after: revision of that request
  * @read_until_us: time at which it is given up
+ * @read_any: it is one of bb_relay_ask_any()
  * @nonce: last nonce
  * @expired_us: time of the last bb_registry_copy_expire()
  */
@@ -122,6 +123,7 @@
 	uint64_t read_nonce;
 	uint64_t read_after;
 	int64_t read_until_us;
+	bool read_any;
 	uint64_t nonce;
 	int64_t expired_us;
 };
@@ -482,6 +484,7 @@
 
 	if (host == BB_NO_ROW)
 		return false;
+	r->read_any = false;
 	ask(r, host, era, after, part_us(r, WAIT_PERCENT),
 	    part_us(r, ANSWER_SLACK_PERCENT), now_us);
 	return true;
@@ -495,6 +498,7 @@
 
 	if (host == BB_NO_ROW)
 		return false;
+	r->read_any = true;
 	ask(r, host, era, after, 0, part_us(r, ANY_SLACK_PERCENT), now_us);
 	return true;
 }
@@ -528,7 +532,8 @@
 		r->reader.answered(r->reader.data, m);
 }
 
-static void fail_read(struct bb_relay *r, const char *reason, int64_t now_us)
+/* Returns the time for which the host asked last is not asked. */
+static int64_t shun_upstream(struct bb_relay *r, int64_t now_us)
 {
 	struct shunned *s = g_hash_table_lookup(r->shunned, r->upstream);
 
@@ -538,13 +543,21 @@
 	}
 	s->delay_us = CLAMP(2 * s->delay_us, SHUN_MIN_US, SHUN_MAX_US);
 	s->until_us = now_us + s->delay_us;
+	return s->delay_us;
+}
+
+static void fail_read(struct bb_relay *r, const char *reason, bool shun,
+		      int64_t now_us)
+{
+	int64_t delay_us = shun ? shun_upstream(r, now_us) : 0;
+
 	bb_metrics_add(BB_METRIC_REGISTRY_RELAY_FAILURES, 1);
 	bb_log_event(BB_LOG_CONFIG, G_LOG_LEVEL_INFO, NULL,
 		     "registry_upstream_failed",
 		     "host=%s reason=%s revision=%" G_GUINT64_FORMAT
 		     " not_asked_ms=%" G_GINT64_FORMAT,
 		     r->upstream, reason, r->read_after,
-		     s->delay_us / BB_US_PER_MS);
+		     delay_us / BB_US_PER_MS);
 	end_read(r, NULL);
 }
 
@@ -579,7 +592,11 @@
 		return;
 	broken = check_changes(r, m);
 	if (broken) {
-		fail_read(r, broken, now_us);
+		/* A host that the registry does not answer either may read it
+		 * again as soon as this node does. */
+		fail_read(r, broken,
+			  !r->read_any || m->answer != BB_REGISTRY_STALE,
+			  now_us);
 		return;
 	}
 	g_hash_table_remove(r->shunned, r->upstream);
@@ -606,7 +623,7 @@
 {
 	answer_all_due(r, now_us);
 	if (r->read_nonce && now_us >= r->read_until_us)
-		fail_read(r, "no-answer", now_us);
+		fail_read(r, "no-answer", true, now_us);
 	if (now_us - r->expired_us < EXPIRY_INTERVAL_US)
 		return;
 	r->expired_us = now_us;
