--- a/src/test_lib/test_queue_rank.cc
+++ b/src/test_lib/test_queue_rank.cc
@@ -560,7 +560,7 @@
 			ASSERT_EQ(f.running.size(), bb_queue_running(f.q));
 			ASSERT_GE(4u, bb_queue_running(f.q));
 		}
-		EXPECT_EQ(bb_queue_waiting(f.q),
-			  bb_queue_drain(f.q, BB_REASON_STOPPING));
+		waiting = bb_queue_waiting(f.q);
+		EXPECT_EQ(waiting, bb_queue_drain(f.q, BB_REASON_STOPPING));
 	}
 }
