Executor: a response with a header over the limit of a RESULT is a failure

What callers saw: a response with a header value over 16 KiB, or a name over 256 bytes, never arrived through a node other than the one beside the backend server: 504 "may have run" at the deadline, although the answer was there. Through the node beside the backend server it arrived.

Cause: such a header is over its limit in the inner protocol, so that the RESULT could not be encoded. The adjacent node dropped it with a log line of level debug.

The executor now ends such a response as "too large" (502, ran) on both ways, as it does for a body that does not fit into a RESULT, and closes its connection.

Executor.LargeHeaderIsAFailure failed before ("done" for both) and passes; all of test_executor passes.

--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -86,6 +86,7 @@
  * @got_bytes: a byte of the response was received
  * @head_bytes: size of all heads and trailers so far
  * @head_complete: the head of the final response was received
+ * @header_too_large: a header of the response does not fit into a RESULT
  * @no_body: the response has no body, as for HEAD
  * @body_length_known: the head tells where the body ends
  * @has_content_length: the head has the length of the body
@@ -116,6 +117,7 @@
 	bool too_large;
 	size_t head_bytes;
 	bool head_complete;
+	bool header_too_large;
 	bool no_body;
 	bool body_length_known;
 	bool has_content_length;
@@ -182,6 +184,8 @@
 		return BB_EXECUTION_MISDIRECTED;
 	if (x->not_executed)
 		return BB_EXECUTION_REFUSED;
+	if (x->header_too_large && x->head_complete)
+		return BB_EXECUTION_TOO_LARGE;
 	if (x->too_large)
 		return x->has_content_length ? BB_EXECUTION_TOO_LARGE :
 					       BB_EXECUTION_TRUNCATED;
@@ -569,28 +573,38 @@
 	       !memcmp(value->data, x->request_id, value->size);
 }
 
-static void check_request_id(struct bb_execution *x, const char *line, size_t n)
+static void check_request_id(struct bb_execution *x, const struct bb_header *h)
 {
-	struct bb_header h;
-
-	if (!x->request_id || !bb_header_parse(line, n, &h) ||
-	    !bb_header_named(&h.name, x->dialect->request_id))
+	if (!x->request_id ||
+	    !bb_header_named(&h->name, x->dialect->request_id))
 		return;
-	if (is_request_id(x, &h.value))
+	if (is_request_id(x, &h->value))
 		x->identified = true;
 	else if (!x->foreign_id)
-		x->foreign_id = g_strndup(h.value.data, h.value.size);
+		x->foreign_id = g_strndup(h->value.data, h->value.size);
+}
+
+static void check_header(struct bb_execution *x, const char *line, size_t n)
+{
+	struct bb_header h;
+
+	if (!bb_header_parse(line, n, &h))
+		return;
+	check_request_id(x, &h);
+	if (h.name.size > BB_HEADER_NAME_MAX ||
+	    h.value.size > BB_HEADER_VALUE_MAX)
+		x->header_too_large = true;
 }
 
 /*
  * Return: @n, or 0 after the head or a trailer of a response that is not the
- * one to this request. Then libcurl ends the execution and closes the
- * connection, on which the response to this request would be taken for that to
- * the next one.
+ * one to this request, or that cannot be passed on. Then libcurl ends the
+ * execution and closes the connection, on which the response to this request
+ * would be taken for that to the next one.
  */
-static size_t continue_unless_foreign(const struct bb_execution *x, size_t n)
+static size_t continue_if_usable(const struct bb_execution *x, size_t n)
 {
-	return is_foreign(x) ? 0 : n;
+	return is_foreign(x) || x->header_too_large ? 0 : n;
 }
 
 static size_t on_header(char *data, size_t size, size_t nr, void *user)
@@ -606,6 +620,7 @@
 	if (n >= 5 && !memcmp(data, "HTTP/", 5)) {
 		g_string_truncate(x->response_head, 0);
 		x->head_complete = false;
+		x->header_too_large = false;
 		x->identified = false;
 		return n;
 	}
@@ -617,11 +632,11 @@
 		/* libcurl would wait for a body and keep the connection. */
 		if (status == HTTP_SWITCHING_PROTOCOLS)
 			return 0;
-		return continue_unless_foreign(x, n);
+		return continue_if_usable(x, n);
 	}
 	g_string_append_len(x->response_head, data, (gssize)n);
-	check_request_id(x, data, n);
-	return x->head_complete ? continue_unless_foreign(x, n) : n;
+	check_header(x, data, n);
+	return x->head_complete ? continue_if_usable(x, n) : n;
 }
 
 static void append_header(struct bb_execution *x, const char *name,
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -305,6 +305,29 @@
 	}
 }
 
+// Guards against a response that does not fit into a RESULT, so that the entry node
+// gets none and its caller waits until the deadline.
+TEST(Executor, LargeHeaderIsAFailure)
+{
+	const std::string end = "\r\nContent-Length: 0\r\n\r\n";
+	const std::string name(BB_HEADER_NAME_MAX, 'n');
+	const std::string value(BB_HEADER_VALUE_MAX, 'v');
+
+	EXPECT_EQ(BB_EXECUTION_DONE,
+		  execute(kOk + name + ": " + value + end).end);
+	EXPECT_EQ(BB_EXECUTION_TOO_LARGE,
+		  execute(kOk + name + "n: 1" + end).end);
+	EXPECT_EQ(BB_EXECUTION_TOO_LARGE,
+		  execute(kOk + "X: " + value + "v" + end).end);
+	// Only a response to this request tells that it ran.
+	EXPECT_EQ(BB_EXECUTION_FOREIGN,
+		  execute("HTTP/1.1 200 OK\r\nX: " + value + "v" + end).end);
+	EXPECT_EQ(BB_EXECUTION_REFUSED,
+		  execute(kOk + "X-Not-Run: 1\r\nX: " + value + "v" + end).end);
+	EXPECT_EQ(BB_EXECUTION_BROKEN,
+		  execute(kOk + "X: " + value + "v\r\n").end);
+}
+
 // Guards against a late response to an earlier request being passed on as the
 // response to this one.
 TEST(Executor, ResponseToAnotherRequest)
