Front: a response with an invalid status becomes a failure

Cause: libmicrohttpd refuses to queue such a response, and the callback returned that as its own failure, which closes the connection. Nothing was logged.

A status outside of 200 to 599 now becomes 502 "may have run", and event=response_status_invalid tells it.

Front.InvalidStatusIsAFailure failed before ("closed" for 0 and 99; for 101 the caller got no end, and the run was stopped after 60 s) and passes; all of test_front passes.

--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -16,6 +16,9 @@
  * seen. */
 #define RESPONSE_BLOCK_BYTES (32u * 1024)
 
+/* Statuses that a final response can have. */
+#define STATUS_FINAL_MIN 200u
+#define STATUS_MAX 599u
 /* What libmicrohttpd keeps of a header, argument or cookie besides its text. */
 #define REQUEST_VALUE_BYTES 64u
 /* Status line and headers that the node or libmicrohttpd adds to a response. */
@@ -188,11 +191,20 @@
 }
 
 /* libmicrohttpd would close the connection without a response. */
-static void fail_if_head_is_too_large(struct bb_call *c)
+static void fail_if_unusable(struct bb_call *c)
 {
 	size_t request = request_bytes(c->connection);
 	size_t response = response_bytes(&c->answer);
 
+	if (c->answer.status < STATUS_FINAL_MIN ||
+	    c->answer.status > STATUS_MAX) {
+		bb_log_event(BB_LOG_FRONT, G_LOG_LEVEL_WARNING, c->id,
+			     "response_status_invalid", "status=%u",
+			     c->answer.status);
+		bb_call_refuse(c, BB_VERDICT_MAY_HAVE_RUN,
+			       BB_REASON_BACKEND_FAILED, 0);
+		return;
+	}
 	if (request + response <= BB_CONNECTION_MEMORY_BYTES)
 		return;
 	bb_log_event(BB_LOG_FRONT, G_LOG_LEVEL_INFO, c->id,
@@ -239,7 +251,7 @@
 	enum MHD_Result rc;
 
 	if (a->reason == BB_REASON_NONE)
-		fail_if_head_is_too_large(c);
+		fail_if_unusable(c);
 	if (dialect->not_run_as_503)
 		answer_503_if_not_run(a);
 	r = a->reason == BB_REASON_NONE ? backend_response(c, memory) :
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -346,6 +346,7 @@
 	int64_t stall_us_ = 60000000;
 	// Empty for the target of the request.
 	std::string answer_ = "done";
+	unsigned int status_ = 200;
 	// Header of the answer, none if the value is empty.
 	std::string large_name_ = "X-Large", large_value_;
 	bool current_ = true;
@@ -399,7 +400,7 @@
 		struct bb_header large = { bytes(self->large_name_),
 					   bytes(self->large_value_) };
 
-		bb_call_answer(c, 200, &large,
+		bb_call_answer(c, self->status_, &large,
 			       self->large_value_.empty() ? 0 : 1, &body);
 		c->state = BB_CALL_ANSWERED;
 		MHD_resume_connection(c->connection);
@@ -627,6 +628,21 @@
 			}
 }
 
+// Guards against a connection that is closed without an answer because another node
+// sent a response whose status is not that of one.
+TEST_F(Front, InvalidStatusIsAFailure)
+{
+	for (unsigned int invalid : { 0u, 99u, 101u, 199u, 600u, 1000u }) {
+		status_ = invalid;
+		EXPECT_EQ("502 may-have-run", ask("GET /book", KEY)) << invalid;
+	}
+	for (unsigned int valid : { 200u, 404u, 421u, 500u, 599u }) {
+		status_ = valid;
+		EXPECT_EQ(std::to_string(valid) + " ran",
+			  ask("GET /book", KEY));
+	}
+}
+
 // Guards against a refusal that a caller loses because the connection is reset
 // while it still sends the body.
 TEST_F(Front, RefusalsWaitForTheBody)
