Entry: the row of the own host follows the configuration

What callers saw: none seen outside of the test. After hosts were removed from the configuration, an attempt at the backend server beside this node that was sent before and fails reads beyond the table of hosts; the process may end, and all its requests without an answer.

Cause: when a configuration takes effect, the rows that an attempt holds are looked up again, but not that of the host of a local attempt, because nothing was sent to it. The log line of a failed attempt names it, by the former row in the newer table: another host, or none.

The row is now looked up for local attempts as well. Their state is otherwise unchanged: they keep their host when the backend server has left.

Entry.RowOfTheOwnHostFollowsTheConfiguration failed before (row 4 of 1; with AddressSanitizer a heap-buffer-overflow in log_failed_attempt()) and passes; all of test_entry passes in the release and the sanitized build.

--- a/src/libnode/entry_config.c
+++ b/src/libnode/entry_config.c
@@ -28,7 +28,7 @@
 	if (!t->history.nr)
 		return;
 	t->backend = rebind_backend(t->backend, old, new);
-	if (t->local || t->host == BB_NO_ROW)
+	if (t->host == BB_NO_ROW)
 		return;
 	h = &old->config->hosts[t->host];
 	t->host = bb_config_find_host(new->config, h->name, strlen(h->name));
@@ -36,7 +36,7 @@
 	 * Without its backend server, a request that still waits for a session
 	 * is not sent; its timer ends the wait.
 	 */
-	if (t->backend == BB_NO_ROW)
+	if (t->backend == BB_NO_ROW && !t->local)
 		t->host = BB_NO_ROW;
 }
 
--- a/src/test_lib/test_entry.cc
+++ b/src/test_lib/test_entry.cc
@@ -344,6 +344,48 @@
 	bb_adjacent_delete(o.adjacent);
 }
 
+// Guards against the end of the process by an attempt at the backend server beside
+// this node that fails after other hosts were removed: its host was looked up by the
+// row that it had before.
+TEST(Entry, RowOfTheOwnHostFollowsTheConfiguration)
+{
+	struct bb_adjacent_options ao = {};
+	struct bb_entry_options o = options();
+	GHashTable *leaving =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	struct bb_message_result r = {};
+	struct bb_error err;
+
+	ao.incarnation = 1;
+	ao.reply = [](void *, const struct bb_reply_address *,
+		      const struct bb_message *) {};
+	o.adjacent = bb_adjacent_new(&ao, &err);
+	ASSERT_NE(nullptr, o.adjacent) << err.message;
+	{
+		Entry x(o);
+		struct bb_attempts *t;
+
+		x.configure(2, { 1, 2, 3, 4, 0 });
+		for (const char *host : { "h1", "h2", "h3", "h4" })
+			g_hash_table_add(leaving, g_strdup(host));
+		bb_entry_set_leaving(x.e, leaving);
+		bb_adjacent_configure(o.adjacent, x.e->snapshot);
+		t = x.submit("book", TIMEOUT_US);
+		ASSERT_NE(nullptr, t);
+		ASSERT_TRUE(t->local);
+		x.configure(3, { 0 });
+		EXPECT_EQ(x.host("h0"), t->host);
+		r.id = t->id;
+		r.receiver_incarnation = 1;
+		r.verdict = BB_VERDICT_MAY_HAVE_RUN;
+		r.reason = BB_REASON_BACKEND_FAILED;
+		bb_entry_result(x.e, &r);
+		EXPECT_TRUE(x.finished);
+		EXPECT_EQ(502u, x.answer.status);
+	}
+	bb_adjacent_delete(o.adjacent);
+}
+
 // Guards against a report that seems younger than it is, which would prolong a
 // hint, or that is taken for one of the future.
 TEST(Session, AgeHasBounds)
