Front: the account of a request is forgotten with its route

What callers saw: beside a change of the configuration that drops a route and client accounts, whole requests got neither an answer nor a refusal, from all nodes at once: each process that was receiving a body for that route ended (SIGSEGV), and with it all requests that it held.

If its route is gone, the check ends before the account is looked up, and the row of the account in the former configuration stays with the newer one. The history of refusals and the log line read the name of that row: of another account (then only the log and the counts of refusals are wrong), or beyond the end of the table.

The account is now reset before the route is looked up.

Front.AccountIsForgottenWithItsRoute ended test_front by SIGSEGV before and passes; all of test_front passes.

--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -199,7 +199,6 @@
 	const char *key = caller_key(s->dialect, s->key);
 	enum bb_access access = bb_call_route(c)->access;
 
-	c->account = BB_NO_ROW;
 	if (key)
 		c->account = bb_config_find_key(config, key, strlen(key));
 	else if (s->account && access == BB_ACCESS_INTERNAL)
@@ -368,6 +367,8 @@
 {
 	enum bb_reason reason = find_route(c, s);
 
+	/* It may be a row of an earlier configuration. */
+	c->account = BB_NO_ROW;
 	if (reason)
 		return reason;
 	c->service = choose_service(f, c);
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -538,6 +538,28 @@
 	EXPECT_EQ(1u, submitted());
 }
 
+// Guards against the end of the process by a route that is dropped, with client
+// accounts, while a body is being received: the account of the request was looked
+// up in the newer list.
+TEST_F(Front, AccountIsForgottenWithItsRoute)
+{
+	const std::string head = request("POST /book",
+					 "Authorization: Bearer bbk_2\r\n"
+					 "Expect: 100-continue\r\n"
+					 "Content-Length: 4\r\n",
+					 "");
+	Document next;
+
+	EXPECT_EQ("100", status(send_raw(head)));
+	next.version = "8";
+	next.accounts = "";
+	next.routes.resize(next.routes.find(",\n"));
+	set_config(next);
+	EXPECT_EQ("405 not-run", status(send_raw("body")));
+	EXPECT_EQ("401 not-run", status(send_raw(request("GET /", KEY, ""))));
+	EXPECT_EQ(0u, submitted());
+}
+
 // Guards against request smuggling by requests that two servers could parse
 // differently.
 TEST_F(Front, AmbiguousRequestsAreRefused)
