--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -361,6 +361,7 @@
 	uint64_t memory_limit_ = 60000;
 	// Empty for the target of the request.
 	std::string answer_ = "done";
+	unsigned int status_ = 200;
 	// Header of the answer, none if the value is empty.
 	std::string large_name_ = "X-Large", large_value_;
 	bool current_ = true;
@@ -414,7 +415,7 @@
 		struct bb_header large = { bytes(self->large_name_),
 					   bytes(self->large_value_) };
 
-		bb_call_answer(c, 200, &large,
+		bb_call_answer(c, self->status_, &large,
 			       self->large_value_.empty() ? 0 : 1, &body);
 		c->state = BB_CALL_ANSWERED;
 		MHD_resume_connection(c->connection);
@@ -552,6 +553,28 @@
 	EXPECT_EQ(1u, submitted());
 }
 
+// Guards against the end of the process by a route that is dropped, with client
+// accounts, while a body is being received: the account of the request was looked
+// up in the newer list.
+TEST_F(Front, AccountIsForgottenWithItsRoute)
+{
+	const std::string head = request("POST /book",
+					 "Authorization: Bearer bbk_2\r\n"
+					 "Expect: 100-continue\r\n"
+					 "Content-Length: 4\r\n",
+					 "");
+	Document next;
+
+	EXPECT_EQ("100", status(send_raw(head)));
+	next.version = "8";
+	next.accounts = "";
+	next.routes.resize(next.routes.find(",\n"));
+	set_config(next);
+	EXPECT_EQ("405 not-run", status(send_raw("body")));
+	EXPECT_EQ("401 not-run", status(send_raw(request("GET /", KEY, ""))));
+	EXPECT_EQ(0u, submitted());
+}
+
 // Guards against request smuggling by requests that two servers could parse
 // differently.
 TEST_F(Front, AmbiguousRequestsAreRefused)
@@ -642,6 +665,21 @@
 			}
 }
 
+// Guards against a connection that is closed without an answer because another node
+// sent a response whose status is not that of one.
+TEST_F(Front, InvalidStatusIsAFailure)
+{
+	for (unsigned int invalid : { 0u, 99u, 101u, 199u, 600u, 1000u }) {
+		status_ = invalid;
+		EXPECT_EQ("502 may-have-run", ask("GET /book", KEY)) << invalid;
+	}
+	for (unsigned int valid : { 200u, 404u, 421u, 500u, 599u }) {
+		status_ = valid;
+		EXPECT_EQ(std::to_string(valid) + " ran",
+			  ask("GET /book", KEY));
+	}
+}
+
 // Guards against a refusal that a caller loses because the connection is reset
 // while it still sends the body.
 TEST_F(Front, RefusalsWaitForTheBody)
