Nodes: bodies over 16 MiB are read in parts

Cause: a message between nodes takes 16 MiB of body, a route up to 64 MiB. A larger message is no remedy: ZeroMQ has read it into memory before this node can admit or refuse it, so that several entry nodes at once take the node beside a backend server out of memory, and other messages wait behind it.

Change: EXECUTE_LARGE announces a body of 16 to 64 MiB. The adjacent side checks the request, claims memory for all of the body, then asks for one part of 1 MiB after the other (BODY_READ, BODY_PART) and queues the request when it is complete. Messages keep their limit. A request whose receiver has not read all of the body certainly did not run, so a lost connection or a stop meanwhile is "not run". A body of which no part arrives for 5 s is given up.

A node of an earlier version drops the new messages. Its peers withdraw the request after 1 s (CANCEL, which it answers "not run"), refuse it as peer-limit and send it no further one for 10 s.

Adjacent.LargeBodyIsAdmittedBeforeItIsRead, OnlyPartsThatWereAskedForAreTaken, RequestEndsWhileItsBodyIsRead, Entry.LargeBodyIsReadInParts, NodeThatNeverAsksForALargeBody, LateReaderTakesLargeBodies and Wire.LargeRequestAnnouncesItsBody cover the parts.

--- a/include/baobabward/wire.h
+++ b/include/baobabward/wire.h
@@ -25,8 +25,14 @@
 #define BB_NAME_MAX 128
 /* Largest number of headers of a request or response. */
 #define BB_HEADERS_MAX 128
-/* Largest body of a request or response between nodes, in bytes. */
+/* Largest body within a message, in bytes, and so of a response. */
 #define BB_BODY_MAX (16u << 20)
+/*
+ * Largest body of a request between nodes, in bytes. The receiver reads one over
+ * BB_BODY_MAX in parts of at most BB_BODY_PART_MAX.
+ */
+#define BB_REQUEST_BODY_MAX (64u << 20)
+#define BB_BODY_PART_MAX (1u << 20)
 /* Largest number of entries of a list in a control message. */
 #define BB_LIST_MAX 4096
 /* Longest request target, header name and header value, in bytes. */
@@ -79,6 +85,9 @@
 	BB_MESSAGE_REGISTRY_READ,
 	BB_MESSAGE_REGISTRY_CHANGES,
 	BB_MESSAGE_BACKEND_REPORTS,
+	BB_MESSAGE_EXECUTE_LARGE,
+	BB_MESSAGE_BODY_READ,
+	BB_MESSAGE_BODY_PART,
 	BB_MESSAGE_TYPE_COUNT
 };
 
@@ -232,6 +241,49 @@
 	struct bb_bytes body;
 };
 
+/**
+ * struct bb_message_execute_large - EXECUTE of a request whose body is over
+ * BB_BODY_MAX.
+ * @execute: the request, with an empty body
+ * @body_bytes: size of the body
+ *
+ * The receiver refuses it with a RESULT, or reads the body with BODY_READ, one
+ * part after the other, before it executes the request.
+ */
+struct bb_message_execute_large {
+	struct bb_message_execute execute;
+	uint32_t body_bytes;
+};
+
+/**
+ * struct bb_message_body_read - asks for a part of the body of a request.
+ * @id: of the EXECUTE_LARGE
+ * @receiver_incarnation: incarnation of the node that answers the EXECUTE_LARGE,
+ *                        the sender
+ * @offset: first byte of the part
+ * @size: size of the part, at most BB_BODY_PART_MAX
+ */
+struct bb_message_body_read {
+	struct bb_request_id id;
+	uint64_t receiver_incarnation;
+	uint32_t offset;
+	uint32_t size;
+};
+
+/**
+ * struct bb_message_body_part - answer to BODY_READ.
+ * @id: of the EXECUTE_LARGE
+ * @receiver_incarnation: of the EXECUTE_LARGE
+ * @offset: first byte of the part
+ * @bytes: the part
+ */
+struct bb_message_body_part {
+	struct bb_request_id id;
+	uint64_t receiver_incarnation;
+	uint32_t offset;
+	struct bb_bytes bytes;
+};
+
 /**
  * struct bb_message_result - answer to EXECUTE.
  * @id: of the EXECUTE
@@ -805,6 +857,9 @@
 		struct bb_message_registry_read registry_read;
 		struct bb_message_registry_changes registry_changes;
 		struct bb_message_backend_reports backend_reports;
+		struct bb_message_execute_large execute_large;
+		struct bb_message_body_read body_read;
+		struct bb_message_body_part body_part;
 	};
 };
 
--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -9,6 +9,7 @@
 #include "baobabward/metrics.h"
 #include "libnode/executor.h"
 #include "libnode/headers.h"
+#include "libnode/incoming_body.h"
 #include "libnode/request_spans.h"
 #include "libnode/loop.h"
 #include "libnode/request_id_set.h"
@@ -18,6 +19,10 @@
 /* Interval of forgetting old ids and refusing queued requests that are late. */
 #define EXPIRE_INTERVAL_US (50 * BB_US_PER_MS)
 
+/* Time without a part after which the reading of a body is given up: that of
+ * several lost connections. */
+#define BODY_STALL_US (5 * BB_US_PER_S)
+
 /*
  * Time for which a result tells the entry node to avoid a leaving backend
  * server. An entry node that does not know yet that the server is leaving tries
@@ -31,6 +36,8 @@
  * @received: message that holds the memory of @request, may be NULL
  * @execution: set while it runs
  * @memory: claim on memory for the body of a request of another node
+ * @body: body that is read from another node; the request is neither queued nor
+ *        running before it is complete
  * @spans: trace spans
  * @refusal: why its queue refused it
  * @started_us: when it was sent to the backend server
@@ -46,6 +53,7 @@
 	struct bb_execution *execution;
 	struct bb_queue_entry queue_entry;
 	struct bb_body_claim memory;
+	struct bb_incoming_body body;
 	struct bb_adjacent_spans spans;
 	enum bb_reason refusal;
 	int64_t started_us;
@@ -97,7 +105,8 @@
 	while (nr < WORK_JOBS_MAX && g_hash_table_iter_next(&i, NULL, &value)) {
 		const struct bb_job *job = value;
 
-		if (job->backend != b)
+		if (job->backend != b ||
+		    bb_incoming_body_is_receiving(&job->body))
 			continue;
 		work_us += bb_server_cost_remaining_us(
 			&b->cost, job_cost_us(job),
@@ -233,14 +242,23 @@
 	reply(a, to, id, b, &r);
 }
 
-static void free_job(struct bb_job *job)
+/* Frees what a job holds; it is in the table of jobs no more. */
+static void delete_job(struct bb_job *job)
 {
-	g_hash_table_remove(job->adjacent->jobs, &job->request.id);
+	if (bb_incoming_body_is_receiving(&job->body))
+		job->backend->receiving--;
+	bb_incoming_body_end(&job->body);
 	bb_body_claim_end(job->adjacent->o.memory, &job->memory);
 	bb_received_message_delete(job->received);
 	g_free(job);
 }
 
+static void free_job(struct bb_job *job)
+{
+	g_hash_table_remove(job->adjacent->jobs, &job->request.id);
+	delete_job(job);
+}
+
 /* Frees the job before the reply, since the reply may submit a new request. */
 static void refuse_job(struct bb_job *job, enum bb_verdict verdict,
 		       enum bb_reason reason)
@@ -681,14 +699,17 @@
 	bb_adjacent_reply_refused(a);
 }
 
+/* A request whose body is still to be read is no trial of the breaker yet. */
 static enum bb_reason check_request(struct bb_adjacent *a,
 				    const struct bb_message_execute *x,
-				    struct adjacent_backend *b, int64_t now_us)
+				    struct adjacent_backend *b, bool complete,
+				    int64_t now_us)
 {
 	const struct bb_admission_request request = { x->idempotent,
 						      x->last_resort,
 						      x->may_wait };
-	bool breaker = a->o.breaker && a->snapshot->config->automation;
+	bool breaker = complete && a->o.breaker &&
+		       a->snapshot->config->automation;
 
 	if (a->draining)
 		return BB_REASON_STOPPING;
@@ -828,11 +849,9 @@
 
 /* Claims the memory of a body that another node sent. The one of a call of this
  * node has a claim of its own. */
-static bool claim_body(struct bb_adjacent *a, struct bb_job *job,
+static bool claim_body(struct bb_adjacent *a, struct bb_job *job, uint64_t size,
 		       int64_t now_us)
 {
-	uint64_t size = job->request.body.size;
-
 	if (!size || job->reply_to.local)
 		return true;
 	bb_body_claim_begin(a->o.memory, &job->memory, BB_BODY_FORWARDED, 0, 0,
@@ -840,10 +859,41 @@
 	return bb_body_claim_resize(a->o.memory, &job->memory, size, now_us);
 }
 
-void bb_adjacent_execute(struct bb_adjacent *a,
+static void queue_job(struct bb_job *job, int64_t now_us)
+{
+	struct adjacent_backend *b = job->backend;
+	enum bb_reason reason;
+
+	fill_queue_entry(job->adjacent, job, now_us);
+	reason = bb_queue_push(b->queue, &job->queue_entry, now_us);
+	if (reason) {
+		bb_breaker_trial_dropped(&b->breaker, now_us);
+		refuse_job(job, BB_VERDICT_NOT_RUN, reason);
+	}
+	bb_adjacent_start_queued(b);
+}
+
+static void read_part(const struct bb_job *job)
+{
+	struct bb_adjacent *a = job->adjacent;
+	struct bb_message m = { .type = BB_MESSAGE_BODY_READ };
+
+	m.body_read = (struct bb_message_body_read){
+		.id = job->request.id,
+		.receiver_incarnation = a->o.incarnation,
+		.offset = (uint32_t)job->body.received,
+		.size = bb_incoming_body_part_size(&job->body),
+	};
+	a->o.reply(a->o.data, &job->reply_to, &m);
+}
+
+/* Answers or drops a request, or makes it a job. @body_bytes: size of a body that
+ * is still to be read, 0 for none. */
+static void take_request(struct bb_adjacent *a,
 			 const struct bb_reply_address *to,
 			 struct bb_received_message *received,
-			 const struct bb_message_execute *x)
+			 const struct bb_message_execute *x,
+			 uint32_t body_bytes)
 {
 	struct adjacent_backend *b = find_backend(a, &x->backend);
 	int64_t now_us = bb_clock_now_us();
@@ -871,7 +921,7 @@
 	}
 	if (b)
 		take_limit_of_sender(b, x, now_us);
-	reason = check_request(a, x, b, now_us);
+	reason = check_request(a, x, b, !body_bytes, now_us);
 	if (reason) {
 		refuse(a, to, &x->id, b, BB_VERDICT_NOT_RUN, reason);
 		bb_received_message_delete(received);
@@ -884,16 +934,89 @@
 	job->request = *x;
 	job->backend = b;
 	g_hash_table_insert(a->jobs, &job->request.id, job);
-	fill_queue_entry(a, job, now_us);
 	bb_adjacent_spans_begin(&job->spans, a->o.tracer, &job->request);
-	reason = claim_body(a, job, now_us) ?
-			 bb_queue_push(b->queue, &job->queue_entry, now_us) :
-			 BB_REASON_BODY_MEMORY;
-	if (reason) {
+	if (!claim_body(a, job, body_bytes ? body_bytes : x->body.size,
+			now_us) ||
+	    (body_bytes &&
+	     !bb_incoming_body_begin(&job->body, body_bytes, now_us))) {
 		bb_breaker_trial_dropped(&b->breaker, now_us);
+		refuse_job(job, BB_VERDICT_NOT_RUN, BB_REASON_BODY_MEMORY);
+		bb_adjacent_start_queued(b);
+		return;
+	}
+	if (!body_bytes) {
+		queue_job(job, now_us);
+		return;
+	}
+	b->receiving++;
+	read_part(job);
+}
+
+void bb_adjacent_execute(struct bb_adjacent *a,
+			 const struct bb_reply_address *to,
+			 struct bb_received_message *received,
+			 const struct bb_message_execute *x)
+{
+	take_request(a, to, received, x, 0);
+}
+
+void bb_adjacent_execute_large(struct bb_adjacent *a,
+			       const struct bb_reply_address *to,
+			       struct bb_received_message *received,
+			       const struct bb_message_execute_large *x)
+{
+	take_request(a, to, received, &x->execute, x->body_bytes);
+}
+
+/* A part that arrives on another connection is one of an earlier attempt to send
+ * it, or not of the entry node. */
+static bool is_from_entry(const struct bb_job *job,
+			  const struct bb_sender *from)
+{
+	const struct bb_sender *to = &job->reply_to.sender;
+
+	return from->is_request && to->is_request &&
+	       !memcmp(from->routing_id, to->routing_id, BB_ROUTING_ID_SIZE);
+}
+
+void bb_adjacent_body_part(struct bb_adjacent *a, const struct bb_sender *from,
+			   const struct bb_message_body_part *x)
+{
+	struct bb_job *job = g_hash_table_lookup(a->jobs, &x->id);
+	int64_t now_us = bb_clock_now_us();
+	enum bb_reason reason;
+
+	if (!job || x->receiver_incarnation != a->o.incarnation ||
+	    !is_from_entry(job, from) ||
+	    !bb_incoming_body_add(&job->body, x->offset, &x->bytes, now_us))
+		return;
+	if (bb_incoming_body_is_receiving(&job->body)) {
+		read_part(job);
+		return;
+	}
+	job->backend->receiving--;
+	job->request.body = (struct bb_bytes){ job->body.data, job->body.size };
+	reason = check_request(a, &job->request, job->backend, true, now_us);
+	if (reason)
 		refuse_job(job, BB_VERDICT_NOT_RUN, reason);
+	else
+		queue_job(job, now_us);
+}
+
+/* Gives up bodies of which no part has arrived for long. */
+static void refuse_stalled_bodies(struct bb_adjacent *a, int64_t now_us)
+{
+	GList *all = g_hash_table_get_values(a->jobs);
+
+	for (GList *l = all; l; l = l->next) {
+		struct bb_job *job = l->data;
+
+		if (bb_incoming_body_is_receiving(&job->body) &&
+		    (now_us - job->body.moved_us >= BODY_STALL_US ||
+		     now_us >= job->request.not_after_us))
+			refuse_job(job, BB_VERDICT_NOT_RUN, BB_REASON_DEADLINE);
 	}
-	bb_adjacent_start_queued(b);
+	g_list_free(all);
 }
 
 /*
@@ -944,6 +1067,10 @@
 		return;
 	}
 	b = job->backend;
+	if (bb_incoming_body_is_receiving(&job->body)) {
+		refuse_job(job, BB_VERDICT_NOT_RUN, BB_REASON_CANCELLED);
+		return;
+	}
 	if (bb_queue_cancel(b->queue, &job->queue_entry)) {
 		bb_breaker_trial_dropped(&b->breaker,
 					 job->queue_entry.pushed_us);
@@ -1011,6 +1138,7 @@
 		bb_adjacent_start_queued(l->data);
 	}
 	g_list_free(all);
+	refuse_stalled_bodies(a, now_us);
 	bb_request_id_set_expire(a->seen_ids, now_us);
 	return G_SOURCE_CONTINUE;
 }
@@ -1048,9 +1176,7 @@
 	(void)data;
 	bb_adjacent_spans_end(&job->spans, BB_VERDICT_MAY_HAVE_RUN,
 			      BB_REASON_STOPPING, 0);
-	bb_body_claim_end(job->adjacent->o.memory, &job->memory);
-	bb_received_message_delete(job->received);
-	g_free(job);
+	delete_job(job);
 	return TRUE;
 }
 
--- a/src/libnode/adjacent.h
+++ b/src/libnode/adjacent.h
@@ -39,7 +39,7 @@
  * @incarnation: incarnation of this node
  * @control: control thread, which receives the outcomes of requests; NULL for
  *           none
- * @reply: sends a RESULT
+ * @reply: sends a RESULT or a BODY_READ
  * @state_changed: the breaker of a backend server opened or closed, may be NULL
  * @data: passed to @reply and @state_changed
  * @tracer: receives spans, NULL for none
@@ -57,7 +57,7 @@
 	uint64_t incarnation;
 	struct bb_control *control;
 	void (*reply)(void *data, const struct bb_reply_address *to,
-		      const struct bb_message *result);
+		      const struct bb_message *m);
 	void (*state_changed)(void *data);
 	void *data;
 	struct bb_tracer *tracer;
@@ -90,6 +90,26 @@
 			 struct bb_received_message *received,
 			 const struct bb_message_execute *x);
 
+/**
+ * bb_adjacent_execute_large() - as bb_adjacent_execute(), for a request whose body
+ * has to be read from its entry node first.
+ *
+ * Memory for all of the body is claimed before the first part is asked for.
+ */
+void bb_adjacent_execute_large(struct bb_adjacent *a,
+			       const struct bb_reply_address *to,
+			       struct bb_received_message *received,
+			       const struct bb_message_execute_large *x);
+
+/**
+ * bb_adjacent_body_part() - take in a part of a body that was asked for.
+ * @a: adjacent side
+ * @from: sender of the part
+ * @x: the part
+ */
+void bb_adjacent_body_part(struct bb_adjacent *a, const struct bb_sender *from,
+			   const struct bb_message_body_part *x);
+
 /**
  * bb_adjacent_cancel() - stop a request and answer with a RESULT at once.
  */
--- a/src/libnode/adjacent_config.c
+++ b/src/libnode/adjacent_config.c
@@ -101,7 +101,7 @@
 	(void)key;
 	(void)data;
 	return !b->configured && !bb_queue_running(b->queue) &&
-	       !bb_queue_waiting(b->queue);
+	       !bb_queue_waiting(b->queue) && !b->receiving;
 }
 
 void bb_adjacent_configure(struct bb_adjacent *a, struct bb_snapshot *snapshot)
--- a/src/libnode/adjacent_private.h
+++ b/src/libnode/adjacent_private.h
@@ -34,6 +34,7 @@
  *                     for none
  * @warmup: whether it is cold
  * @warmup_check: health check in progress that is to tell, NULL if there is none
+ * @receiving: requests whose body is being read from another node
  * @logged_cold: the last event in the log said that it is cold
  * @configured: the current snapshot has it beside this node
  */
@@ -59,6 +60,7 @@
 	double named_limit_per_s;
 	struct bb_warmup warmup;
 	struct bb_execution *warmup_check;
+	unsigned int receiving;
 	bool logged_cold;
 	bool configured;
 };
--- a/src/libnode/entry.c
+++ b/src/libnode/entry.c
@@ -22,6 +22,13 @@
 #define SESSION_MAX_AGE_US (20 * BB_US_PER_S)
 /* Age from which an attempt is checked for a lost connection. */
 #define LOST_CHECK_MIN_AGE_US (20 * BB_US_PER_MS)
+/*
+ * Longest wait until the receiver of a request asks for its large body. A node of
+ * a version without EXECUTE_LARGE never does.
+ */
+#define BODY_ASK_TIMEOUT_US (1 * BB_US_PER_S)
+/* Time for which no further large body is announced to such a node. */
+#define SMALL_BODIES_US (10 * BB_US_PER_S)
 /* Interval of repeating a HELLO, which fails while the connection is set up. */
 #define HELLO_RETRY_US (2 * BB_US_PER_MS)
 /* Age up to which a reported load decides whether an attempt is sent: the loop
@@ -367,6 +374,30 @@
 		     c->version, c->revision);
 }
 
+static struct bb_session *attempt_session(const struct bb_attempts *t)
+{
+	const struct bb_entry *e = t->entry;
+
+	if (t->local || t->host == BB_NO_ROW)
+		return NULL;
+	return bb_sessions_find(e->o.sessions,
+				e->snapshot->config->hosts[t->host].name);
+}
+
+/*
+ * Whether the node of the current attempt, which answered a CANCEL, has ignored
+ * the announcement of a large body. What it sends arrives in order.
+ */
+static bool takes_small_bodies_only(const struct bb_attempts *t)
+{
+	struct bb_session *s = attempt_session(t);
+
+	if (!s || !t->body_left || t->body_asked)
+		return false;
+	s->small_bodies_until_us = bb_clock_now_us() + SMALL_BODIES_US;
+	return true;
+}
+
 void bb_attempts_fail_current(struct bb_attempts *t, enum bb_verdict verdict,
 			      enum bb_reason reason)
 {
@@ -380,7 +411,9 @@
 	 * its time is over.
 	 */
 	if (reason == BB_REASON_CANCELLED && !t->caller_gone)
-		reason = BB_REASON_DEADLINE;
+		reason = takes_small_bodies_only(t) ? BB_REASON_PEER_LIMIT :
+						      BB_REASON_DEADLINE;
+	t->body_left = 0;
 	outcome.reason = reason;
 	search = bb_attempt_found_no_slot(&t->history, &limits, &outcome,
 					  bb_clock_now_us());
@@ -403,6 +436,24 @@
 	bb_attempts_fail_current(t, verdict, BB_REASON_PEER_SILENT);
 }
 
+/* Verdict on the current attempt, which was sent, without word of its receiver. */
+static enum bb_verdict unanswered_verdict(const struct bb_attempts *t)
+{
+	return t->body_left ? BB_VERDICT_NOT_RUN : BB_VERDICT_MAY_HAVE_RUN;
+}
+
+/* Leaves out a body that is too large for a message. */
+static void announce_body(struct bb_message *m)
+{
+	struct bb_message_execute x = m->execute;
+	size_t size = x.body.size;
+
+	x.body = (struct bb_bytes){ 0 };
+	m->type = BB_MESSAGE_EXECUTE_LARGE;
+	m->execute_large.execute = x;
+	m->execute_large.body_bytes = (uint32_t)MIN(size, UINT32_MAX);
+}
+
 static void send_local(struct bb_attempts *t)
 {
 	struct bb_reply_address to = { .local = true };
@@ -426,6 +477,20 @@
 		bb_metrics_add(BB_METRIC_ZONE_BYTES, request_bytes(t->call));
 }
 
+static int send_execute(const struct bb_attempts *t, const struct bb_session *s,
+			struct bb_message *m, struct bb_error *err)
+{
+	const struct bb_entry_options *o = &t->entry->o;
+
+	if (!t->body_left)
+		return o->send(o->data, t->host, m, err);
+	if (bb_clock_now_us() < s->small_bodies_until_us)
+		return bb_error_set(err, BB_ERROR_INVALID,
+				    "its node takes no body of this size");
+	announce_body(m);
+	return o->send(o->data, t->host, m, err);
+}
+
 static void send_remote(struct bb_attempts *t, struct bb_session *s)
 {
 	struct bb_entry *e = t->entry;
@@ -435,7 +500,7 @@
 	t->receiver_incarnation = s->incarnation;
 	t->not_after_us = bb_session_not_after(s, t->call->deadline_us);
 	fill_execute(t, &m);
-	if (!e->o.send(e->o.data, t->host, &m, &err)) {
+	if (!send_execute(t, s, &m, &err)) {
 		count_placed(t);
 		return;
 	}
@@ -540,6 +605,8 @@
 
 	if (t->state == ATTEMPT_WAITS_FOR_SESSION)
 		return MIN(left_us, HELLO_TIMEOUT_US);
+	if (t->body_left && !t->body_asked)
+		left_us = MIN(left_us, BODY_ASK_TIMEOUT_US);
 	if (bb_call_route(t->call)->idempotent &&
 	    bb_attempt_count_without_redirects(&t->history) <
 		    BB_RETRY_ATTEMPTS_MAX)
@@ -567,16 +634,6 @@
 			e->o.context, HELLO_RETRY_US, on_hello_retry, e);
 }
 
-static struct bb_session *attempt_session(const struct bb_attempts *t)
-{
-	const struct bb_entry *e = t->entry;
-
-	if (t->local || t->host == BB_NO_ROW)
-		return NULL;
-	return bb_sessions_find(e->o.sessions,
-				e->snapshot->config->hosts[t->host].name);
-}
-
 static gboolean on_hello_retry(gpointer data)
 {
 	struct bb_entry *e = data;
@@ -613,6 +670,9 @@
 	if (s && now_us - s->welcome_us >= SESSION_RENEW_US)
 		bb_entry_send_hello(e, t->host, s, now_us);
 	t->state = ATTEMPT_SENT;
+	t->body_asked = false;
+	t->body_left =
+		s && t->call->body->len > BB_BODY_MAX ? t->call->body->len : 0;
 	bb_attempts_set_timer(t, attempt_time_us(t, now_us));
 	g_hash_table_insert(e->attempts, &t->id.sequence, t);
 	if (s)
@@ -666,7 +726,7 @@
 	case ATTEMPT_CANCELLING:
 		g_hash_table_remove(t->entry->attempts, &t->id.sequence);
 		t->state = ATTEMPT_NONE;
-		fail_unanswered(t, BB_VERDICT_MAY_HAVE_RUN);
+		fail_unanswered(t, unanswered_verdict(t));
 		break;
 	}
 	return G_SOURCE_REMOVE;
@@ -844,7 +904,7 @@
 				s->established = false;
 			g_hash_table_remove(e->attempts, &t->id.sequence);
 			t->state = ATTEMPT_NONE;
-			bb_attempts_fail_current(t, BB_VERDICT_MAY_HAVE_RUN,
+			bb_attempts_fail_current(t, unanswered_verdict(t),
 						 BB_REASON_WRONG_INCARNATION);
 			return;
 		}
@@ -887,6 +947,54 @@
 	bb_attempts_start_next(t);
 }
 
+/* Return: false if it is not the next part of the body of attempt @t. */
+static bool is_next_part(const struct bb_attempts *t, uint32_t host,
+			 const struct bb_message_body_read *x)
+{
+	return !t->local && t->host == host &&
+	       t->receiver_incarnation == x->receiver_incarnation && x->size &&
+	       x->size <= t->body_left &&
+	       x->offset == t->call->body->len - t->body_left;
+}
+
+void bb_entry_body_read(struct bb_entry *e, uint32_t host,
+			const struct bb_message_body_read *x)
+{
+	struct bb_message m = { .type = BB_MESSAGE_BODY_PART };
+	struct bb_attempts *t = NULL;
+	int64_t now_us = bb_clock_now_us();
+	struct bb_error err;
+
+	if (x->id.incarnation == e->o.incarnation)
+		t = g_hash_table_lookup(e->attempts, &x->id.sequence);
+	if (!t || t->id.sequence != x->id.sequence || !is_next_part(t, host, x))
+		return;
+	if (t->state != ATTEMPT_SENT) {
+		t->body_asked = true;
+		return;
+	}
+	bb_entry_record_path_answer(e, host, false, now_us);
+	m.body_part = (struct bb_message_body_part){
+		.id = x->id,
+		.receiver_incarnation = x->receiver_incarnation,
+		.offset = x->offset,
+		.bytes = { (const char *)t->call->body->data + x->offset,
+			   x->size },
+	};
+	if (e->o.send(e->o.data, host, &m, &err)) {
+		attempt_session(t)->established = false;
+		g_hash_table_remove(e->attempts, &t->id.sequence);
+		t->state = ATTEMPT_NONE;
+		fail_unanswered(t, BB_VERDICT_NOT_RUN);
+		return;
+	}
+	t->body_left -= x->size;
+	if (t->body_asked)
+		return;
+	t->body_asked = true;
+	bb_attempts_set_timer(t, attempt_time_us(t, now_us));
+}
+
 static bool is_connection_lost(const struct bb_attempts *t, int64_t now_us)
 {
 	const struct bb_entry *e = t->entry;
@@ -913,7 +1021,7 @@
 		bb_loop_remove(&t->timer);
 		g_hash_table_remove(e->attempts, &t->id.sequence);
 		t->state = ATTEMPT_NONE;
-		fail_unanswered(t, BB_VERDICT_MAY_HAVE_RUN);
+		fail_unanswered(t, unanswered_verdict(t));
 	}
 	g_list_free(all);
 }
@@ -966,7 +1074,7 @@
 {
 	if ((t->state == ATTEMPT_SENT || t->state == ATTEMPT_CANCELLING) &&
 	    t->history.verdict == BB_VERDICT_NOT_RUN)
-		t->history.verdict = BB_VERDICT_MAY_HAVE_RUN;
+		t->history.verdict = unanswered_verdict(t);
 	bb_attempts_refuse(t, t->history.verdict, BB_REASON_STOPPING);
 }
 
--- a/src/libnode/entry.h
+++ b/src/libnode/entry.h
@@ -104,6 +104,17 @@
  */
 void bb_entry_result(struct bb_entry *e, const struct bb_message_result *r);
 
+/**
+ * bb_entry_body_read() - send a part of the body of a request.
+ * @e: entry side
+ * @host: handle of the node that asks for it in the snapshot in force
+ * @x: what it asks for
+ *
+ * Ignored unless it is the next part of a request that was sent to that node.
+ */
+void bb_entry_body_read(struct bb_entry *e, uint32_t host,
+			const struct bb_message_body_read *x);
+
 /**
  * bb_entry_welcome() - a session was renewed: send the requests that waited
  * for it.
--- a/src/libnode/entry_private.h
+++ b/src/libnode/entry_private.h
@@ -48,6 +48,9 @@
  * @path: path of the current attempt, NULL when released
  * @receiver_incarnation: incarnation that the current attempt is addressed to
  * @not_after_us: deadline of the attempt in the clock of the receiver
+ * @body_left: bytes of the body that the receiver has still to read; it cannot
+ *             execute the request before
+ * @body_asked: it has asked for a part
  * @sent_us: when the request, or the HELLO that it waits for, was sent
  * @local: the backend server is beside this node
  * @caller_gone: the caller closed the connection, or this node is stopping;
@@ -77,6 +80,8 @@
 	struct bb_path *path;
 	uint64_t receiver_incarnation;
 	int64_t not_after_us;
+	size_t body_left;
+	bool body_asked;
 	int64_t sent_us;
 	bool local;
 	bool caller_gone;
--- a/src/libnode/session.h
+++ b/src/libnode/session.h
@@ -24,7 +24,8 @@
  * @last_heard_us: own clock when the last WELCOME or RESULT arrived, 0 for
  *		   never
  * @silent: a HELLO was not answered, and nothing has arrived since
- * @used_us: not used
+ * @small_bodies_until_us: own clock until which the node counts as one that takes
+ *			   no bodies over BB_BODY_MAX, 0 for never
  * @nonce: of the last HELLO
  * @round_trip_us: time from the HELLO that the last WELCOME answered to that
  *                 WELCOME
@@ -40,7 +41,7 @@
 	int64_t hello_us;
 	int64_t last_heard_us;
 	bool silent;
-	int64_t used_us;
+	int64_t small_bodies_until_us;
 	uint64_t nonce;
 	int64_t round_trip_us;
 };
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -330,6 +330,19 @@
 		/* Takes ownership of the message. */
 		bb_adjacent_execute(t->adjacent, &to, r, &m->execute);
 		return;
+	case BB_MESSAGE_EXECUTE_LARGE:
+		count_as_listener(t, &to.sender);
+		bb_adjacent_execute_large(t->adjacent, &to, r,
+					  &m->execute_large);
+		return;
+	case BB_MESSAGE_BODY_PART:
+		bb_adjacent_body_part(t->adjacent, &to.sender, &m->body_part);
+		break;
+	case BB_MESSAGE_BODY_READ:
+		if (!to.sender.is_request)
+			bb_entry_body_read(t->entry, to.sender.host,
+					   &m->body_read);
+		break;
 	case BB_MESSAGE_CANCEL:
 		bb_adjacent_cancel(t->adjacent, &to, &m->cancel);
 		break;
--- a/src/libwire/wire_layout.c
+++ b/src/libwire/wire_layout.c
@@ -140,6 +140,35 @@
 	F_BYTES(bb_message_execute, body, BB_BODY_MAX),
 };
 
+static const struct bb_layout execute =
+	LAYOUT(execute_fields, struct bb_message_execute);
+
+static const struct bb_field execute_large_fields[] = {
+	F_STRUCT(bb_message_execute_large, execute, execute),
+	F_U32_MAX(bb_message_execute_large, body_bytes, BB_REQUEST_BODY_MAX),
+};
+
+static bool body_is_elsewhere(const void *data)
+{
+	const struct bb_message_execute_large *x = data;
+
+	return !x->execute.body.size && x->body_bytes > BB_BODY_MAX;
+}
+
+static const struct bb_field body_read_fields[] = {
+	F_STRUCT(bb_message_body_read, id, request_id),
+	F_U64(bb_message_body_read, receiver_incarnation),
+	F_U32_MAX(bb_message_body_read, offset, BB_REQUEST_BODY_MAX),
+	F_U32_MAX(bb_message_body_read, size, BB_BODY_PART_MAX),
+};
+
+static const struct bb_field body_part_fields[] = {
+	F_STRUCT(bb_message_body_part, id, request_id),
+	F_U64(bb_message_body_part, receiver_incarnation),
+	F_U32_MAX(bb_message_body_part, offset, BB_REQUEST_BODY_MAX),
+	F_BYTES(bb_message_body_part, bytes, BB_BODY_PART_MAX),
+};
+
 static const struct bb_field result_fields[] = {
 	F_STRUCT(bb_message_result, id, request_id),
 	F_U64(bb_message_result, receiver_incarnation),
@@ -405,6 +434,10 @@
 	LAYOUT(registry_read_fields, struct bb_message_registry_read),
 	LAYOUT(registry_changes_fields, struct bb_message_registry_changes),
 	LAYOUT(backend_reports_fields, struct bb_message_backend_reports),
+	LAYOUT_CHECK(execute_large_fields, struct bb_message_execute_large,
+		     body_is_elsewhere),
+	LAYOUT(body_read_fields, struct bb_message_body_read),
+	LAYOUT(body_part_fields, struct bb_message_body_part),
 };
 
 static_assert(sizeof(bb_wire_layouts) / sizeof(*bb_wire_layouts) ==
@@ -412,12 +445,33 @@
 	      "bb_wire_layouts must have a layout for each message type");
 
 const char *const bb_message_type_string[] = {
-	"hello",   "welcome",	     "execute",		 "result",
-	"cancel",  "digest-request", "digest",		 "page-request",
-	"page",	   "lease-request",  "lease-grant",	 "lease-release",
-	"draw",	   "draw-grant",     "permit-request",	 "permit-grant",
-	"record",  "record-reply",   "record-transfer",	 "summary-request",
-	"summary", "registry-read",  "registry-changes", "backend-reports",
+	"hello",
+	"welcome",
+	"execute",
+	"result",
+	"cancel",
+	"digest-request",
+	"digest",
+	"page-request",
+	"page",
+	"lease-request",
+	"lease-grant",
+	"lease-release",
+	"draw",
+	"draw-grant",
+	"permit-request",
+	"permit-grant",
+	"record",
+	"record-reply",
+	"record-transfer",
+	"summary-request",
+	"summary",
+	"registry-read",
+	"registry-changes",
+	"backend-reports",
+	"execute-large",
+	"body-read",
+	"body-part",
 };
 
 static_assert(sizeof(bb_message_type_string) /
--- a/src/libwire/wire_layout.h
+++ b/src/libwire/wire_layout.h
@@ -9,7 +9,8 @@
 
 /*
  * Deepest nesting of arrays: message, list, element of the list, struct in the
- * element (RECORD_TRANSFER, with the outcome of an entry).
+ * element (RECORD_TRANSFER, with the outcome of an entry), or message, request,
+ * list of its headers, header (EXECUTE_LARGE).
  */
 #define BB_WIRE_DEPTH_MAX 4
 
--- a/src/test_e2e/test_large_bodies_memory.sh
+++ b/src/test_e2e/test_large_bodies_memory.sh
@@ -42,4 +42,21 @@
 			--data-binary "@$fleet_dir/large")"
 done
 crowd_expect_bounds "after the crowd" "$crowd_memory_mb"
+
+# Bodies from three nodes meet at the host of the one backend server, which has
+# memory for one of them.
+crowd_stop_fleet
+fleet_start 4 1 || exit 1
+for ((i = 0; i < large_callers; i++)); do
+	fleet_call_background $((i % 3 + 1)) POST /orders "meet-$i" \
+		-H "Expect:" --data-binary "@$fleet_dir/large"
+done
+fleet_wait_calls
+for ((i = 0; i < large_callers; i++)); do
+	echo "meet-$i: $(fleet_answer "meet-$i")"
+	expect "meet-$i: verdict" yes "$(fleet_check_verdict "meet-$i")"
+done
+crowd_expect_bounds "from three nodes" "$crowd_memory_mb"
+expect "body from another node after them" "200 ran" \
+	"$(fleet_call 1 POST /orders alone --data-binary "@$fleet_dir/large")"
 fleet_finish
--- a/src/test_lib/entry_fixture.h
+++ b/src/test_lib/entry_fixture.h
@@ -44,6 +44,8 @@
 	struct bb_sessions *sessions = bb_sessions_new();
 	std::map<uint32_t, int> hellos;
 	std::vector<Execute> executes;
+	// Parts of bodies that were sent.
+	std::vector<std::string> parts;
 	struct bb_answer answer = {};
 	bool finished = false;
 	struct bb_entry *e;
@@ -126,8 +128,13 @@
 	int sent(uint32_t host, const struct bb_message *m,
 		 struct bb_error *err)
 	{
-		const struct bb_message_execute &x = m->execute;
+		bool is_large = m->type == BB_MESSAGE_EXECUTE_LARGE;
+		const struct bb_message_execute &x =
+			is_large ? m->execute_large.execute : m->execute;
 
+		if (m->type == BB_MESSAGE_BODY_PART)
+			parts.push_back({ m->body_part.bytes.data,
+					  m->body_part.bytes.size });
 		if (m->type == BB_MESSAGE_EXECUTE &&
 		    x.body.size > largest_body) {
 			unfit++;
@@ -137,7 +144,7 @@
 
 		if (m->type == BB_MESSAGE_HELLO)
 			hellos[host]++;
-		if (m->type == BB_MESSAGE_EXECUTE)
+		if (m->type == BB_MESSAGE_EXECUTE || is_large)
 			executes.push_back({ host,
 					     x.id,
 					     x.receiver_incarnation,
@@ -220,6 +227,19 @@
 			welcome(i);
 		}
 	}
+	// The node of the last EXECUTE, or the one on @host, asks for a part.
+	void read_body(uint32_t offset, uint32_t size,
+		       uint32_t host = BB_NO_ROW)
+	{
+		struct bb_message_body_read r = {};
+
+		r.id = executes.back().id;
+		r.receiver_incarnation = executes.back().incarnation;
+		r.offset = offset;
+		r.size = size;
+		bb_entry_body_read(
+			e, host == BB_NO_ROW ? executes.back().host : host, &r);
+	}
 	// Answers the last EXECUTE with the verdict "not run" and @reason.
 	void refuse_last(enum bb_reason reason)
 	{
--- a/src/test_lib/test_adjacent.cc
+++ b/src/test_lib/test_adjacent.cc
@@ -22,10 +22,13 @@
 	GMainContext *context = g_main_context_new();
 	struct bb_snapshots *snapshots = bb_snapshots_new("h1");
 	std::vector<struct bb_message_result> results;
+	std::vector<struct bb_message_body_read> reads;
 	struct bb_adjacent *a;
 	std::string body;
 	// Requests come from this node, not from another one.
 	bool local = true;
+	// Entry node of requests with a large body.
+	struct bb_sender entry = { 0, true, { 1, 2, 3, 4, 5 } };
 
 	explicit Adjacent(struct bb_body_memory *memory = nullptr)
 	{
@@ -36,7 +39,11 @@
 		o.incarnation = 7;
 		o.reply = [](void *data, const struct bb_reply_address *,
 			     const struct bb_message *m) {
-			((Adjacent *)data)->results.push_back(m->result);
+			if (m->type == BB_MESSAGE_BODY_READ)
+				((Adjacent *)data)
+					->reads.push_back(m->body_read);
+			else
+				((Adjacent *)data)->results.push_back(m->result);
 		};
 		o.data = this;
 		o.memory = memory;
@@ -67,9 +74,10 @@
 		bb_snapshot_put(s);
 	}
 	// Returns the reason for a refusal, or BB_REASON_NONE if the request
-	// waits or runs.
+	// waits or runs, or if its body of @body_bytes is being read.
 	enum bb_reason execute(uint64_t sequence,
-			       const std::string &account = "account-1")
+			       const std::string &account = "account-1",
+			       uint32_t body_bytes = 0)
 	{
 		struct bb_reply_address to = {};
 		struct bb_message_execute x = {};
@@ -87,12 +95,42 @@
 		x.method = { "POST", 4 };
 		x.target = { "/book", 5 };
 		x.body = { body.data(), body.size() };
-		bb_adjacent_execute(a, &to, nullptr, &x);
+		if (body_bytes) {
+			struct bb_message_execute_large large = { x,
+								  body_bytes };
+
+			to.local = false;
+			to.sender = entry;
+			bb_adjacent_execute_large(a, &to, nullptr, &large);
+		} else {
+			bb_adjacent_execute(a, &to, nullptr, &x);
+		}
 		if (results.size() == before)
 			return BB_REASON_NONE;
 		EXPECT_EQ(BB_VERDICT_NOT_RUN, results.back().verdict);
 		return results.back().reason;
 	}
+	// Sends a part of the body of a request.
+	void send_part(uint64_t sequence, uint32_t offset, size_t size,
+		       const struct bb_sender &from)
+	{
+		struct bb_message_body_part p = {};
+		std::string bytes(size, 'x');
+
+		p.id.incarnation = 5;
+		p.id.sequence = sequence;
+		p.receiver_incarnation = 7;
+		p.offset = offset;
+		p.bytes = { bytes.data(), bytes.size() };
+		bb_adjacent_body_part(a, &from, &p);
+	}
+	// Sends all that is asked for, of which the request is @sequence.
+	void send_parts(uint64_t sequence)
+	{
+		for (size_t i = 0; i < reads.size(); i++)
+			send_part(sequence, reads[i].offset, reads[i].size,
+				  entry);
+	}
 };
 
 } // namespace
@@ -246,3 +284,107 @@
 	EXPECT_EQ(0u, use.stages[BB_BODY_FORWARDED]);
 	bb_body_memory_delete(m);
 }
+
+namespace
+{
+
+constexpr uint32_t LARGE_BYTES = BB_BODY_MAX + 5;
+
+uint64_t forwarded(struct bb_body_memory *m)
+{
+	struct bb_body_memory_use use;
+
+	bb_body_memory_use(m, &use);
+	return use.stages[BB_BODY_FORWARDED];
+}
+
+} // namespace
+
+// Guards against a large body that travels before there is memory for it: many
+// nodes that send one at once would take a node out of memory.
+TEST(Adjacent, LargeBodyIsAdmittedBeforeItIsRead)
+{
+	struct bb_body_memory_options o = {};
+	struct bb_body_memory *m;
+
+	o.limit = 8u << 20;
+	m = bb_body_memory_new(&o);
+	{
+		Adjacent x(m);
+
+		EXPECT_EQ(BB_REASON_NONE, x.execute(1, "", LARGE_BYTES));
+		EXPECT_EQ(LARGE_BYTES, forwarded(m));
+		ASSERT_EQ(1u, x.reads.size());
+		for (uint64_t i = 2; i < 10; i++)
+			EXPECT_EQ(BB_REASON_BODY_MEMORY,
+				  x.execute(i, "", LARGE_BYTES));
+		EXPECT_EQ(1u, x.reads.size());
+		x.send_parts(1);
+		EXPECT_EQ(17u, x.reads.size());
+		EXPECT_EQ(1u, bb_adjacent_jobs(x.a));
+		EXPECT_EQ(8u, x.results.size());
+		EXPECT_EQ(LARGE_BYTES, forwarded(m));
+	}
+	EXPECT_EQ(0u, forwarded(m));
+	bb_body_memory_delete(m);
+}
+
+// Guards against a body made of parts that were not asked for, or of those of
+// another connection.
+TEST(Adjacent, OnlyPartsThatWereAskedForAreTaken)
+{
+	Adjacent x;
+	struct bb_sender other = { 0, true, { 1, 2, 3, 4, 6 } };
+	struct bb_sender reply = { 0, false, { 1, 2, 3, 4, 5 } };
+
+	EXPECT_EQ(BB_REASON_NONE, x.execute(1, "", LARGE_BYTES));
+	ASSERT_EQ(1u, x.reads.size());
+	EXPECT_EQ(0u, x.reads[0].offset);
+	EXPECT_EQ(BB_BODY_PART_MAX, x.reads[0].size);
+	x.send_part(1, 0, BB_BODY_PART_MAX, other);
+	x.send_part(1, 0, BB_BODY_PART_MAX, reply);
+	x.send_part(1, 0, BB_BODY_PART_MAX - 1, x.entry);
+	x.send_part(1, BB_BODY_PART_MAX, BB_BODY_PART_MAX, x.entry);
+	x.send_part(2, 0, BB_BODY_PART_MAX, x.entry);
+	EXPECT_EQ(1u, x.reads.size());
+	x.send_part(1, 0, BB_BODY_PART_MAX, x.entry);
+	ASSERT_EQ(2u, x.reads.size());
+	EXPECT_EQ(BB_BODY_PART_MAX, x.reads[1].offset);
+	x.send_part(1, 0, BB_BODY_PART_MAX, x.entry);
+	EXPECT_EQ(2u, x.reads.size());
+}
+
+// Guards against a request that is cancelled, or whose backend server leaves,
+// while its body is read, and runs all the same or keeps its memory.
+TEST(Adjacent, RequestEndsWhileItsBodyIsRead)
+{
+	struct bb_body_memory_options o = {};
+	struct bb_body_memory *m = bb_body_memory_new(&o);
+	{
+		Adjacent x(m);
+		struct bb_reply_address to = {};
+		struct bb_message_cancel cancel = { { 5, 1 }, 7, INT64_MAX };
+
+		EXPECT_EQ(BB_REASON_NONE, x.execute(1, "", LARGE_BYTES));
+		x.send_part(1, 0, BB_BODY_PART_MAX, x.entry);
+		bb_adjacent_cancel(x.a, &to, &cancel);
+		ASSERT_EQ(1u, x.results.size());
+		EXPECT_EQ(BB_VERDICT_NOT_RUN, x.results[0].verdict);
+		EXPECT_EQ(BB_REASON_CANCELLED, x.results[0].reason);
+		EXPECT_EQ(0u, bb_adjacent_jobs(x.a));
+		EXPECT_EQ(0u, forwarded(m));
+		x.send_part(1, BB_BODY_PART_MAX, BB_BODY_PART_MAX, x.entry);
+		EXPECT_EQ(1u, x.results.size());
+
+		x.reads.clear();
+		EXPECT_EQ(BB_REASON_NONE, x.execute(2, "", LARGE_BYTES));
+		x.configure(2, "leaving");
+		x.send_parts(2);
+		ASSERT_EQ(2u, x.results.size());
+		EXPECT_EQ(BB_VERDICT_NOT_RUN, x.results[1].verdict);
+		EXPECT_EQ(BB_REASON_LEAVING, x.results[1].reason);
+		EXPECT_EQ(0u, bb_adjacent_jobs(x.a));
+		EXPECT_EQ(0u, forwarded(m));
+	}
+	bb_body_memory_delete(m);
+}
--- a/src/test_lib/test_entry.cc
+++ b/src/test_lib/test_entry.cc
@@ -371,6 +371,95 @@
 	EXPECT_TRUE(x.hellos.empty());
 }
 
+// Guards against parts of a body that are lost, swapped or sent to another node,
+// and against a wrong verdict on a request whose body was passed on in part.
+TEST(Entry, LargeBodyIsReadInParts)
+{
+	const uint32_t part = BB_BODY_PART_MAX;
+	const uint32_t total = BB_BODY_MAX + part + 5;
+
+	for (bool complete : { false, true }) {
+		Entry x(options());
+		struct bb_attempts *t;
+		std::string sent;
+
+		x.leave_own_host();
+		x.welcome_all();
+		for (uint32_t i = 0; i < total; i++)
+			x.body.push_back((char)(i * 7 / 1000));
+		t = x.submit("book", TIMEOUT_US);
+		ASSERT_EQ(1u, x.executes.size());
+		EXPECT_LE(step_us(t), BB_US_PER_S);
+		x.read_body(0, part, x.executes[0].host % 4 + 1);
+		x.read_body(part, part);
+		x.read_body(0, 0);
+		EXPECT_TRUE(x.parts.empty());
+		for (uint32_t at = 0; at < total; at += part) {
+			if (!complete && at + part >= total)
+				break;
+			x.read_body(at, MIN(part, total - at));
+			x.read_body(at, MIN(part, total - at));
+		}
+		EXPECT_GT(step_us(t), TIMEOUT_US * 99 / 100);
+		for (const std::string &p : x.parts)
+			sent += p;
+		EXPECT_EQ(complete ? total : BB_BODY_MAX + part, sent.size());
+		EXPECT_EQ(0, x.body.compare(0, sent.size(), sent));
+		bb_entry_abort(x.e);
+		ASSERT_TRUE(x.finished);
+		EXPECT_EQ(complete ? BB_VERDICT_MAY_HAVE_RUN :
+				     BB_VERDICT_NOT_RUN,
+			  x.answer.verdict);
+	}
+}
+
+// Guards against a node of an earlier version, which drops the announcement of a
+// large body, that passes for a slow or silent one.
+TEST(Entry, NodeThatNeverAsksForALargeBody)
+{
+	Entry x(options());
+
+	x.leave_own_host();
+	x.welcome_all();
+	x.body = std::string(BB_BODY_MAX + 1, 'x');
+	x.submit("book", TIMEOUT_US);
+	for (int i = 0; i < 100 && !x.finished; i++)
+		x.refuse_last(BB_REASON_CANCELLED);
+	ASSERT_TRUE(x.finished);
+	EXPECT_EQ(BB_REASON_PEER_LIMIT, x.answer.reason);
+	EXPECT_EQ(BB_VERDICT_NOT_RUN, x.answer.verdict);
+	EXPECT_EQ(503u, x.answer.status);
+	EXPECT_TRUE(x.parts.empty());
+	// The four nodes are not asked again, which takes a second each.
+	x.finished = false;
+	EXPECT_EQ(nullptr, x.submit("book", TIMEOUT_US));
+	EXPECT_TRUE(x.finished);
+	EXPECT_EQ(4u, x.executes.size());
+	x.finished = false;
+	x.body = "small";
+	EXPECT_NE(nullptr, x.submit("book", TIMEOUT_US));
+	EXPECT_EQ(5u, x.executes.size());
+}
+
+// Guards against a node that asks for the body late, after a pause, and passes for
+// one of an earlier version.
+TEST(Entry, LateReaderTakesLargeBodies)
+{
+	Entry x(options());
+
+	x.leave_own_host();
+	x.welcome_all();
+	x.body = std::string(BB_BODY_MAX + 1, 'x');
+	struct bb_attempts *t = x.submit("book", TIMEOUT_US);
+	t->state = ATTEMPT_CANCELLING;
+	x.read_body(0, BB_BODY_PART_MAX);
+	EXPECT_TRUE(x.parts.empty());
+	x.refuse_last(BB_REASON_CANCELLED);
+	for (const char *host : { "h1", "h2", "h3", "h4" })
+		EXPECT_EQ(0, bb_sessions_find(x.sessions, host)
+				     ->small_bodies_until_us);
+}
+
 // Guards against a report that seems younger than it is, which would prolong a
 // hint, or that is taken for one of the future.
 TEST(Session, AgeHasBounds)
--- a/src/test_lib/test_wire.cc
+++ b/src/test_lib/test_wire.cc
@@ -171,6 +171,21 @@
 		case BB_MESSAGE_BACKEND_REPORTS:
 			m.backend_reports = { 1, INT64_MIN, reports, 2 };
 			break;
+		case BB_MESSAGE_EXECUTE_LARGE:
+			m.execute_large.execute =
+				Sample(BB_MESSAGE_EXECUTE).m.execute;
+			m.execute_large.execute.headers = headers;
+			m.execute_large.execute.body = {};
+			m.execute_large.body_bytes = BB_REQUEST_BODY_MAX;
+			break;
+		case BB_MESSAGE_BODY_READ:
+			m.body_read = { id, 4, BB_REQUEST_BODY_MAX,
+					BB_BODY_PART_MAX };
+			break;
+		case BB_MESSAGE_BODY_PART:
+			m.body_part = { id, 4, BB_REQUEST_BODY_MAX,
+					bytes("part") };
+			break;
 		case BB_MESSAGE_RECORD_TRANSFER:
 			m.record_transfer = {
 				1,    BB_TRANSFER_PART, 9, 2, 4, 3,
@@ -257,6 +272,31 @@
 	bb_decoded_message_delete(d);
 }
 
+// Guards against a request whose body is taken for empty, or of another size than
+// the receiver has to read.
+TEST(Wire, LargeRequestAnnouncesItsBody)
+{
+	Sample sample(BB_MESSAGE_EXECUTE_LARGE);
+	std::vector<char> copy;
+	struct bb_decoded_message *d = decode(encode(&sample.m), &copy);
+	struct bb_message_execute_large *x = &sample.m.execute_large;
+	size_t size;
+
+	ASSERT_NE(nullptr, d);
+	EXPECT_EQ(BB_REQUEST_BODY_MAX,
+		  bb_decoded_message_get(d)->execute_large.body_bytes);
+	EXPECT_EQ(2u,
+		  bb_decoded_message_get(d)->execute_large.execute.headers_nr);
+	bb_decoded_message_delete(d);
+	for (uint32_t bytes : { 0u, BB_BODY_MAX, BB_REQUEST_BODY_MAX + 1 }) {
+		x->body_bytes = bytes;
+		EXPECT_EQ(nullptr, bb_wire_encode(&sample.m, &size, nullptr));
+	}
+	x->body_bytes = BB_BODY_MAX + 1;
+	x->execute.body = bytes("body");
+	EXPECT_EQ(nullptr, bb_wire_encode(&sample.m, &size, nullptr));
+}
+
 // Guards against a report that loses the start or the load of its backend
 // server: an entry node would apply it to another process.
 TEST(Wire, DecodedValuesOfReports)
--- a/src/tools/backend_standin.c
+++ b/src/tools/backend_standin.c
@@ -1,8 +1,8 @@
 /*
  * Stand-in of a backend server for tests and the demo.
  *
- * Answers each path with a small JSON document and counts the executions of
- * each X-Test-Id. With ?padding=N the answer also has N bytes of padding and
+ * Answers each path with a small JSON document, which has the size of the body
+ * and its XXH3 checksum, and counts the executions of each X-Test-Id. With ?padding=N the answer also has N bytes of padding and
  * their XXH3 checksum.
  *
  * POST /standin/mode?delay_ms=N&status=N&percent=N&truncate=1 makes that
@@ -220,8 +220,11 @@
 	padding = make_padding(s, c);
 	answer = g_strdup_printf("{\"backend\":\"%s\",\"method\":\"%s\","
 				 "\"path\":\"%s\",\"id\":\"%s\","
-				 "\"bytes\":%zu%s}",
+				 "\"bytes\":%zu,"
+				 "\"body_checksum\":\"%016" G_GINT64_MODIFIER
+				 "x\"%s}",
 				 s->name, method, url, id ? id : "", body->len,
+				 (guint64)XXH3_64bits(body->str, body->len),
 				 padding);
 	g_free(padding);
 	return respond(c, status, answer);
