Body memory: one body over the limit at a time

With two of 64 MiB, and the 40 MB that a node needs besides, that is more than the 160 MB of the smallest machines.

Cause: a large claim was admitted in any case while there was no other large one of its stage. The stage of forwarded bodies stood for copies of a body that was received, which has to have room beside it.

Change: a large request body is admitted in any case only while there is no other large one, of a caller or of another node. Otherwise it is admitted by the sum, or refused as body-memory, not run.

--- a/include/baobabward/body_memory.h
+++ b/include/baobabward/body_memory.h
@@ -15,8 +15,9 @@
  *   even if responses have taken more than the limit.
  * - One account, and one client address, takes up to three quarters of the part
  *   of the request bodies with large bodies, and as much with small ones.
- * - A large claim is admitted in any case while there is no other large one of
- *   its stage, so that a single request is served whatever the limit.
+ * - A large request body is admitted in any case while there is no other large one,
+ *   of a caller or of another node, so that a single request is served whatever
+ *   the limit.
  * - Responses are counted but not refused: the request has run.
  *
  * Where a claim does not fit, bodies without progress give way, those that have
--- a/src/libcore/body_memory.c
+++ b/src/libcore/body_memory.c
@@ -5,7 +5,8 @@
 
 #include "baobabward/metrics.h"
 
-/* Part of the limit for request bodies: as much again is for their copies. */
+/* Part of the limit for request bodies: as much again is for their copies and for
+ * those of other nodes. */
 #define REQUESTS_PERCENT 50
 /* Part of the limit that large claims leave to small ones. */
 #define SMALL_PERCENT 12
@@ -42,7 +43,7 @@
  * @total: all claims
  * @small: small claims
  * @requests: large request bodies of callers
- * @stage: large claims of the same stage
+ * @large: large request bodies of callers and of other nodes
  * @account: large request bodies of the same account
  * @address: large request bodies of the same client address
  * @small_account: small request bodies of the same account
@@ -52,7 +53,7 @@
 	uint64_t total;
 	uint64_t small;
 	uint64_t requests;
-	uint64_t stage;
+	uint64_t large;
 	uint64_t account;
 	uint64_t address;
 	uint64_t small_account;
@@ -143,8 +144,8 @@
 			u->small_address += other->bytes;
 		return;
 	}
-	if (other->stage == c->stage)
-		u->stage += other->bytes;
+	if (other->stage != BB_BODY_RESPONSE)
+		u->large += other->bytes;
 	if (!received)
 		return;
 	u->requests += other->bytes;
@@ -163,7 +164,7 @@
 	u->total -= one.total;
 	u->small -= one.small;
 	u->requests -= one.requests;
-	u->stage -= one.stage;
+	u->large -= one.large;
 	u->account -= one.account;
 	u->address -= one.address;
 	u->small_account -= one.small_account;
@@ -200,7 +201,7 @@
 		       (u->small_account + bytes <= share &&
 			u->small_address + bytes <= share);
 	}
-	if (!u->stage)
+	if (!u->large)
 		return true;
 	if (u->total - u->small + kept + bytes > limit)
 		return false;
--- a/src/test_e2e/test_large_bodies_memory.sh
+++ b/src/test_e2e/test_large_bodies_memory.sh
@@ -43,6 +43,29 @@
 done
 crowd_expect_bounds "after the crowd" "$crowd_memory_mb"
 
+# A body from a caller and one from another node meet at the host of the backend
+# server.
+crowd_stop_fleet
+fleet_start 2 1 || exit 1
+fleet_hold 0
+fleet_call_background 0 POST /orders own --data-binary "@$fleet_dir/large"
+fleet_wait_for "the own body is at the backend server" fleet_executed_at_least 1
+fleet_call_background 1 POST /orders other -H "Expect:" \
+	--data-binary "@$fleet_dir/large"
+# Either the node has refused the other body, or it runs, too.
+large_is_decided() {
+	[ -s "$fleet_dir/other/answer" ] || fleet_executed_at_least 2
+}
+fleet_wait_for "the other body is decided on" large_is_decided
+fleet_release 0
+fleet_wait_calls
+expect "own body" "200 ran" "$(fleet_answer own)"
+echo "other body: $(fleet_answer other)"
+expect "other body: verdict" yes "$(fleet_check_verdict other)"
+crowd_expect_bounds "own and other body" "$one_body_mb"
+expect "the other body alone" "200 ran" \
+	"$(fleet_call 1 POST /orders again --data-binary "@$fleet_dir/large")"
+
 # Bodies from three nodes meet at the host of the one backend server, which has
 # memory for one of them.
 crowd_stop_fleet
