--- a/src/libnode/session.h
+++ b/src/libnode/session.h
@@ -26,7 +26,8 @@
  * @stopping: the node said that it accepts no more requests, and no WELCOME has
  *	      arrived since
  * @silent: a HELLO was not answered, and nothing has arrived since
- * @used_us: not used
+ * @small_bodies_until_us: own clock until which the node counts as one that takes
+ *			   no bodies over BB_BODY_MAX, 0 for never
  * @nonce: of the last HELLO
  * @round_trip_us: time from the HELLO that the last WELCOME answered to that
  *                 WELCOME
@@ -43,7 +44,7 @@
 	int64_t last_heard_us;
 	bool stopping;
 	bool silent;
-	int64_t used_us;
+	int64_t small_bodies_until_us;
 	uint64_t nonce;
 	int64_t round_trip_us;
 };
