Transport: answers of hosts that left the configuration arrive

What callers saw: beside a change of the configuration that removes a host, requests that its node had from other nodes got neither an answer nor a refusal until 0.2 s after their deadline, then 504 "may have run" (idempotent ones after half of their time), although their backend server answered and the node delivered the answer. A caller that waits no longer than its deadline saw nothing.

Cause: an update of the peer list closes the connections to peers that are not on the new one, and with them goes what is on the way. The requests keep waiting: no row of the host is left by which their connection could be found lost.

Connections of the traffic thread to removed peers now stay open for what the peer still sends, which has no host row then, and close after the time without traffic that holds for all connections (60 s). Requests are matched to their answers by id, so that no row is needed. A message that waits for its dispatch during the update is kept as well. Control messages of removed hosts are dropped as before.

Transport.AnswersOfARemovedPeerArrive and PendingMessage.AnswerOfARemovedHostIsKept failed without the change of the product and pass, as do all tests of test_transport, test_endpoint, test_traffic and test_entry.

--- a/include/baobabward/transport.h
+++ b/include/baobabward/transport.h
@@ -84,6 +84,8 @@
  *                        its answer nor any other data for this time is
  *                        replaced
  * @handshake_timeout_ms: longest time for the handshake of a connection
+ * @keep_removed: the connection to a peer that an update removes stays open for
+ *                what the peer still sends on it, until it has no traffic
  * @memory: accounting of the memory of bodies, which counts messages to be sent;
  *          NULL for none
  * @bytes_in_metric: counter of received bytes
@@ -101,6 +103,7 @@
 	int32_t heartbeat_interval_ms;
 	int32_t heartbeat_timeout_ms;
 	int32_t handshake_timeout_ms;
+	bool keep_removed;
 	struct bb_body_memory *memory;
 	enum bb_metric bytes_in_metric;
 	enum bb_metric bytes_out_metric;
@@ -177,7 +180,8 @@
  * @err: set on failure; the previous list then stays in use
  *
  * Connections to peers whose address, port and key are unchanged stay open even
- * if the host index changes. The host index in a struct bb_sender of an earlier
+ * if the host index changes. With @keep_removed, messages of removed peers have the
+ * host index BB_NO_ROW. The host index in a struct bb_sender of an earlier
  * message refers to the earlier list.
  *
  * Return: 0, or -1.
--- a/src/libnode/endpoint.c
+++ b/src/libnode/endpoint.c
@@ -113,15 +113,19 @@
 
 /*
  * The waiting message has the host index of the former list of peers. Without
- * its sender in the new one it is dropped, as the transport does.
+ * its sender in the new one it is dropped, as the transport does, unless it is
+ * the answer of a removed host.
  */
-static void rebind_pending(struct bb_endpoint *p, uint32_t host)
+static void rebind_pending(struct bb_endpoint *p, uint32_t host,
+			   bool keep_answers)
 {
 	/* Without names and keys, the senders of requests are not known. */
 	if (!p->pending ||
 	    bb_received_message_sender(p->pending)->host == BB_NO_ROW)
 		return;
-	if (host != BB_NO_ROW) {
+	if (host != BB_NO_ROW ||
+	    (keep_answers &&
+	     !bb_received_message_sender(p->pending)->is_request)) {
 		bb_received_message_rebind(p->pending, host);
 		return;
 	}
@@ -149,7 +153,7 @@
 	sender = find_pending_sender(p, config);
 	rc = bb_transport_update(p->transport, peers, config->hosts_nr, err);
 	if (!rc)
-		rebind_pending(p, sender);
+		rebind_pending(p, sender, !control);
 	g_free(peers);
 	return rc;
 }
--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -475,6 +475,7 @@
 		.curve_secret_key = t->o.settings->curve_secret,
 		.bytes_in_metric = BB_METRIC_PEER_BYTES_IN,
 		.bytes_out_metric = BB_METRIC_PEER_BYTES_OUT,
+		.keep_removed = true,
 		.memory = t->o.memory,
 	};
 	struct bb_adjacent_options ao = {
--- a/src/libwire/transport.c
+++ b/src/libwire/transport.c
@@ -113,6 +113,24 @@
 	g_hash_table_destroy(by_endpoint);
 }
 
+/* Keeps the connections that move_links() has left in the current list, which may
+ * still bring answers. @nr peers follow. */
+static void keep_links(struct bb_transport *t, size_t nr)
+{
+	for (size_t i = 0; t->o.keep_removed && i < t->peers_nr; i++) {
+		struct bb_link *l = t->peers[i].link;
+
+		if (!l)
+			continue;
+		l->host = BB_NO_ROW;
+		g_queue_push_tail(&t->removed, l);
+		t->peers[i].link = NULL;
+	}
+	while (!g_queue_is_empty(&t->removed) &&
+	       g_queue_get_length(&t->removed) + nr > BB_LIST_MAX)
+		bb_link_delete(t, g_queue_pop_head(&t->removed));
+}
+
 int bb_transport_update(struct bb_transport *t,
 			const struct bb_transport_peer *from, size_t nr,
 			struct bb_error *err)
@@ -127,6 +145,7 @@
 	if (!peers)
 		return -1;
 	move_links(t, peers, nr);
+	keep_links(t, nr);
 	g_hash_table_remove_all(t->hosts_by_key);
 	peers_delete(t, t->peers, t->peers_nr);
 	t->peers = peers;
@@ -224,6 +243,7 @@
 		t->o.name = t->name;
 	}
 	t->epoll_fd = -1;
+	g_queue_init(&t->removed);
 	g_queue_init(&t->ready);
 	t->hosts_by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	set_defaults(&t->o);
@@ -244,6 +264,8 @@
 		return;
 	g_hash_table_destroy(t->hosts_by_key);
 	peers_delete(t, t->peers, t->peers_nr);
+	while (!g_queue_is_empty(&t->removed))
+		bb_link_delete(t, g_queue_pop_head(&t->removed));
 	bb_link_delete(t, t->router);
 	bb_link_delete(t, t->zap);
 	if (t->context)
@@ -509,19 +531,33 @@
 	}
 }
 
+static bool is_idle(struct bb_link *l, int64_t now_us, int64_t idle_us)
+{
+	/* Opened before the first call, when the time was unknown. */
+	if (!l->last_traffic_us)
+		l->last_traffic_us = now_us;
+	return now_us - l->last_traffic_us > idle_us;
+}
+
 void bb_transport_close_idle(struct bb_transport *t, int64_t now_us,
 			     int64_t idle_us)
 {
+	GList *next;
+
 	t->now_us = now_us;
 	for (size_t i = 0; i < t->peers_nr; i++) {
 		struct bb_link *l = t->peers[i].link;
 
-		/* Opened before the first call, when the time was unknown. */
-		if (l && !l->last_traffic_us)
-			l->last_traffic_us = now_us;
-		if (l && now_us - l->last_traffic_us > idle_us)
+		if (l && is_idle(l, now_us, idle_us))
 			bb_transport_disconnect(t, (uint32_t)i);
 	}
+	for (GList *i = t->removed.head; i; i = next) {
+		next = i->next;
+		if (!is_idle(i->data, now_us, idle_us))
+			continue;
+		bb_link_delete(t, i->data);
+		g_queue_delete_link(&t->removed, i);
+	}
 }
 
 /* Drops the remaining frames of a message that has too many. */
@@ -709,7 +745,7 @@
 			struct bb_transport_stats *stats)
 {
 	*stats = t->stats;
-	stats->connections = 0;
+	stats->connections = t->removed.length;
 	for (size_t i = 0; i < t->peers_nr; i++)
 		stats->connections += t->peers[i].link != NULL;
 }
--- a/src/libwire/transport_private.h
+++ b/src/libwire/transport_private.h
@@ -22,7 +22,7 @@
  * @kind: purpose of the socket
  * @socket: ZeroMQ socket
  * @fd: its event descriptor, registered with the epoll set
- * @host: host index of a DEALER's peer
+ * @host: host index of a DEALER's peer, BB_NO_ROW if the peer was removed
  * @last_traffic_us: time of the last send or receive of a DEALER
  * @heard_us: time of the last receive of a DEALER, or of its creation
  * @heartbeat_us: time of the last heartbeat that it sent, 0 for none
@@ -65,6 +65,7 @@
  * @router: socket for requests of other nodes
  * @zap: socket of the ZAP handler, NULL without encryption
  * @peers: peers by host index
+ * @removed: DEALERs of removed peers, longest removed first
  * @ready: sockets that may have a message, each at most once
  * @hosts_by_key: public key, or host name without encryption, to host index
  *                plus 1
@@ -84,6 +85,7 @@
 	struct bb_link *zap;
 	struct bb_peer *peers;
 	size_t peers_nr;
+	GQueue removed;
 	GHashTable *hosts_by_key;
 	GQueue ready;
 	int64_t now_us;
--- a/src/test_lib/test_endpoint.cc
+++ b/src/test_lib/test_endpoint.cc
@@ -22,6 +22,7 @@
 	GMainContext *context = g_main_context_new();
 	struct bb_endpoint *endpoint = nullptr;
 	std::vector<uint32_t> senders;
+	struct bb_sender last = {};
 
 	explicit Node(const char *name)
 	{
@@ -40,9 +41,10 @@
 	}
 	static void receive(void *data, struct bb_received_message *r)
 	{
-		((Node *)data)
-			->senders.push_back(
-				bb_received_message_sender(r)->host);
+		auto *n = (Node *)data;
+
+		n->last = *bb_received_message_sender(r);
+		n->senders.push_back(n->last.host);
 		bb_received_message_delete(r);
 	}
 	struct bb_transport *transport() const
@@ -132,3 +134,19 @@
 	g_main_context_iteration(to.context, FALSE);
 	EXPECT_TRUE(to.senders.empty());
 }
+
+// Guards against the loss of an answer that waits to be dispatched when the host that
+// sent it is removed.
+TEST_F(PendingMessage, AnswerOfARemovedHostIsKept)
+{
+	struct bb_message m = {};
+
+	g_main_context_iteration(to.context, FALSE);
+	ASSERT_TRUE(to.last.is_request);
+	m.type = BB_MESSAGE_WELCOME;
+	ASSERT_EQ(0, bb_transport_reply(to.transport(), &to.last, &m, nullptr));
+	ASSERT_TRUE(from.wait_for_pending());
+	from.configure(from_row);
+	g_main_context_iteration(from.context, FALSE);
+	EXPECT_EQ(std::vector<uint32_t>{ BB_NO_ROW }, from.senders);
+}
--- a/src/test_lib/test_transport.cc
+++ b/src/test_lib/test_transport.cc
@@ -40,7 +40,7 @@
 	explicit Node(const Keys *keys = nullptr, uint16_t port = 0,
 		      uint32_t max_message_size = 0,
 		      int heartbeat_interval_ms = 0,
-		      const char *own_name = nullptr)
+		      const char *own_name = nullptr, bool keep_removed = false)
 	    : name(own_name ? own_name : "")
 	{
 		struct bb_transport_options o = {};
@@ -53,6 +53,7 @@
 		o.max_message_size = max_message_size;
 		o.heartbeat_interval_ms = heartbeat_interval_ms;
 		o.heartbeat_timeout_ms = 2 * heartbeat_interval_ms;
+		o.keep_removed = keep_removed;
 		o.bytes_in_metric = BB_METRIC_PEER_BYTES_IN;
 		o.bytes_out_metric = BB_METRIC_PEER_BYTES_OUT;
 		t = bb_transport_new(&o, &err);
@@ -548,6 +549,39 @@
 	EXPECT_EQ(0u, s.connections);
 }
 
+// Guards against the loss of an answer of a host that leaves the configuration while
+// it has a request, and against connections to such hosts that stay open.
+TEST(Transport, AnswersOfARemovedPeerArrive)
+{
+	Node a(nullptr, 0, 0, 0, nullptr, true), b;
+	struct bb_transport_stats s;
+	struct bb_message m = {};
+
+	b.reply = false;
+	a.set_peers({ b.peer(), a.peer() });
+	bb_transport_close_idle(a.t, 1000, 5000);
+	ASSERT_TRUE(send_when_connected({ &a, &b }, 0, 1));
+	ASSERT_TRUE(wait_for({ &a, &b }, [&] { return b.last.is_request; }));
+	a.set_peers({ a.peer() });
+	m.type = BB_MESSAGE_HELLO;
+	m.hello.nonce = 2;
+	ASSERT_EQ(0, bb_transport_reply(b.t, &b.last, &m, nullptr));
+	EXPECT_TRUE(wait_for({ &a, &b }, [&] { return a.has(BB_NO_ROW, 2); }));
+	EXPECT_NE(0, a.send(1, 3));
+	bb_transport_close_idle(a.t, 6000, 5000);
+	bb_transport_stats(a.t, &s);
+	EXPECT_EQ(1u, s.connections);
+	bb_transport_close_idle(a.t, 6001, 5000);
+	bb_transport_stats(a.t, &s);
+	EXPECT_EQ(0u, s.connections);
+	// A peer that is listed again gets a connection of its own.
+	a.set_peers({ a.peer(), b.peer() });
+	EXPECT_TRUE(send_when_connected({ &a, &b }, 1, 4));
+	a.set_peers({ a.peer() });
+	a.set_peers({ a.peer(), b.peer() });
+	EXPECT_TRUE(send_when_connected({ &a, &b }, 1, 5));
+}
+
 // Guards against connections that stay open without traffic, and against a peer
 // that cannot be connected again after bb_transport_disconnect().
 TEST(Transport, IdleConnectionsAreClosed)
