Traffic: an answer over a limit of messages gets its verdict

An answer with a header value of 20 KB was passed on at the host of the backend server and lost at any other: its caller waited for the timeout of the route and got 504, may-have-run, although the request had run.

Cause: the executor takes heads of up to 64 KiB, a message between nodes header values of up to 16 KiB. The RESULT could not be encoded, and was dropped with a line on the level debug.

Change: a RESULT over a limit is replaced by one with its verdict and no answer (502 backend-server-failed, ran), and a warning tells why.

--- a/src/libnode/traffic.c
+++ b/src/libnode/traffic.c
@@ -118,6 +118,24 @@
 	return bb_transport_connected(bb_endpoint_transport(t->endpoint), host);
 }
 
+/* Sends the verdict without the answer, which is over a limit of messages. */
+static int send_verdict(struct bb_traffic *t, const struct bb_sender *to,
+			const struct bb_message *result, struct bb_error *err)
+{
+	struct bb_message m = *result;
+
+	bb_log_warning(BB_LOG_TRAFFIC,
+		       "cannot pass an answer on to its entry node: %s",
+		       err->message);
+	m.result.reason = BB_REASON_BACKEND_FAILED;
+	m.result.status = bb_reason_status(m.result.reason);
+	m.result.headers = NULL;
+	m.result.headers_nr = 0;
+	m.result.body = (struct bb_bytes){ 0 };
+	return bb_transport_reply(bb_endpoint_transport(t->endpoint), to, &m,
+				  err);
+}
+
 static void send_reply(void *data, const struct bb_reply_address *to,
 		       const struct bb_message *result)
 {
@@ -131,6 +149,9 @@
 	if (!bb_transport_reply(bb_endpoint_transport(t->endpoint), &to->sender,
 				result, &err))
 		return;
+	if (err.code == BB_ERROR_INVALID && result->type == BB_MESSAGE_RESULT &&
+	    !send_verdict(t, &to->sender, result, &err))
+		return;
 	bb_metrics_add(BB_METRIC_PEER_MESSAGES_DROPPED, 1);
 	bb_log(BB_LOG_TRAFFIC, G_LOG_LEVEL_DEBUG, NULL,
 	       "cannot send a result to its entry node: %s; dropping it",
--- a/src/tools/backend_standin.c
+++ b/src/tools/backend_standin.c
@@ -3,7 +3,7 @@
  *
  * Answers each path with a small JSON document, which has the size of the body
  * and its XXH3 checksum, and counts the executions of each X-Test-Id. With ?padding=N the answer also has N bytes of padding and
- * their XXH3 checksum.
+ * their XXH3 checksum, with ?header=N a header X-Padding of N bytes.
  *
  * POST /standin/mode?delay_ms=N&status=N&percent=N&truncate=1 makes that
  * percentage of the requests slow, failing or truncated; hold=1 holds all
@@ -78,6 +78,19 @@
 	return v ? (unsigned int)strtoul(v, NULL, 10) : fallback;
 }
 
+/* Adds the header of ?header=N. */
+static void add_padding_header(struct MHD_Connection *c, struct MHD_Response *r)
+{
+	unsigned int n = MIN(argument(c, "header", 0), PADDING_MAX_BYTES);
+	char *value;
+
+	if (!n)
+		return;
+	value = g_strnfill(n, 'x');
+	MHD_add_response_header(r, "X-Padding", value);
+	g_free(value);
+}
+
 static enum MHD_Result respond(struct MHD_Connection *c, unsigned int status,
 			       char *body)
 {
@@ -86,6 +99,7 @@
 	enum MHD_Result rc;
 
 	MHD_add_response_header(r, "Content-Type", "application/json");
+	add_padding_header(c, r);
 	rc = MHD_queue_response(c, status, r);
 	MHD_destroy_response(r);
 	return rc;
