Front: requests that libmicrohttpd answers are not counted as unanswered

What operators saw: baobabward_unanswered_total grew, and event=unanswered said answer=none, for requests that got a 400 or 431 of libmicrohttpd because their head cannot be parsed.

Cause: the call is made with the request line, before the head is parsed, and libmicrohttpd reports the end of a request that it answered itself as an error, with no answer queued by the front.

Change: a request whose head has not reached the front is not counted. A body whose chunks cannot be parsed is answered with 400 by libmicrohttpd too and is still counted: the end of such a request looks like that of others.

--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -575,7 +575,9 @@
 	(void)connection;
 	if (!c)
 		return;
-	if (!is_answered(c, why))
+	/* Without a method, libmicrohttpd has answered a head that it cannot parse,
+	 * or the head is not complete. */
+	if (c->method && !is_answered(c, why))
 		log_unanswered(c, why);
 	bb_body_claim_end(f->o.memory, &c->memory);
 	bb_call_delete(c);
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -753,6 +753,19 @@
 	}
 }
 
+// Guards against requests that libmicrohttpd itself answers being counted as
+// unanswered.
+TEST_F(Front, RequestRefusedByTheParserIsNotCountedAsUnanswered)
+{
+	uint64_t before = bb_metrics_get(BB_METRIC_UNANSWERED);
+
+	EXPECT_EQ("400", ask("GET /book", "Content-Length: x\r\n"));
+	EXPECT_EQ("431",
+		  ask("GET /book", "X-A: " + std::string(40000, 'x') + "\r\n"));
+	bb_front_finish(front_);
+	EXPECT_EQ(before, bb_metrics_get(BB_METRIC_UNANSWERED));
+}
+
 // Guards against equal hashes for idempotency keys of different accounts or
 // routes.
 TEST_F(Front, IdempotencyKeysAreSeparate)
