Front: test that nothing follows an answer before the body

Front answers a refused request with a long body itself, while libmicrohttpd still reads. FrontLongBody.NothingFollowsAnEarlyAnswer sends a second request behind the body, breaks the chunks after the answer, and refuses HEAD. Each caller gets one answer and the end of the connection, and nothing is submitted.

--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -766,6 +766,35 @@
 	EXPECT_EQ(before, bb_metrics_get(BB_METRIC_UNANSWERED));
 }
 
+// Guards against what follows a refused body being taken for a request, and
+// against an answer of libmicrohttpd after that of the refusal.
+TEST_F(FrontLongBody, NothingFollowsAnEarlyAnswer)
+{
+	const std::string head = "POST /book HTTP/1.1\r\nHost: h\r\n";
+	const std::string body(3000000, 'x'),
+		next = request("GET /book", KEY, "");
+
+	for (const std::string &sent :
+	     { head + "Content-Length: 3000000\r\n\r\n" + body + next,
+	       head + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" +
+		       std::string(0x200000, 'x') + "\r\nnone\r\n" + next,
+	       "HEAD /book HTTP/1.1\r\nHost: h\r\n"
+	       "Content-Length: 3000000\r\n\r\n" +
+		       body + next }) {
+		std::string answer;
+
+		ask("GET /book", "");
+		(void)!send(fd_, sent.data(), sent.size(), MSG_NOSIGNAL);
+		answer = read_to_end();
+		EXPECT_EQ(sent[0] == 'H' ? "405 not-run" : "401 not-run",
+			  status(answer));
+		EXPECT_EQ(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+		if (sent[0] == 'H')
+			EXPECT_EQ(answer.size(), answer.find("\r\n\r\n") + 4);
+	}
+	EXPECT_EQ(0u, submitted());
+}
+
 // Guards against equal hashes for idempotency keys of different accounts or
 // routes.
 TEST_F(Front, IdempotencyKeysAreSeparate)
