Front: failing test of long heads that cost the answer

A request and its response share the 32 KiB of libmicrohttpd's connection memory. If both heads together do not fit, libmicrohttpd closes the connection when it builds the response, after the request ran: of a head of 30.0 to 30.6 KB with a small response, of a head of 12 KB with a response head of 24 KB, and of any request with a response head of over 32 KB, though the executor accepts 64 KiB (RESPONSE_HEAD_MAX_BYTES).

--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -337,6 +337,8 @@
 	uint64_t memory_limit_ = 60000;
 	// Empty for the target of the request.
 	std::string answer_ = "done";
+	// Value of the header X-Large of answers, none if it is empty.
+	std::string answer_header_;
 	bool current_ = true;
 	bool full_ = false;
 	const struct bb_dialect *dialect_ = nullptr;
@@ -385,7 +387,11 @@
 
 			self->calls_.push_back(s);
 		}
-		bb_call_answer(c, 200, nullptr, 0, &body);
+		struct bb_header large = { bytes("X-Large"),
+					   bytes(self->answer_header_) };
+
+		bb_call_answer(c, 200, &large,
+			       self->answer_header_.empty() ? 0 : 1, &body);
 		c->state = BB_CALL_ANSWERED;
 		MHD_resume_connection(c->connection);
 		return true;
@@ -795,6 +801,30 @@
 	EXPECT_EQ(0u, submitted());
 }
 
+// Guards against a request that ran and gets no answer because its head and that
+// of the response do not fit in the memory of a connection together.
+TEST_F(Front, LongHeadsDoNotCostTheAnswer)
+{
+	const auto headers = [](size_t size) {
+		std::string s = KEY;
+
+		for (size_t n; size; size -= n) {
+			n = MIN(size, (size_t)1000);
+			s += "X-A: " + std::string(n, 'x') + "\r\n";
+		}
+		return s;
+	};
+
+	for (size_t size : { 1000, 16000, 24000, 40000 }) {
+		answer_header_ = std::string(size, 'y');
+		EXPECT_NE("closed", ask("GET /book", KEY)) << size;
+		EXPECT_NE("closed", ask("GET /book", headers(12000))) << size;
+	}
+	answer_header_ = "";
+	for (size_t size = 29000; size < 31000; size += 50)
+		EXPECT_NE("closed", ask("GET /book", headers(size))) << size;
+}
+
 // Guards against equal hashes for idempotency keys of different accounts or
 // routes.
 TEST_F(Front, IdempotencyKeysAreSeparate)
