Admin: requests with a body are answered

What operators saw: a request to the operators' port that has a body got no answer, whatever its method; the connection was closed.

Cause: the answer was queued with the first piece of the body, which libmicrohttpd refuses, and that ends the connection.

Change: the body is discarded first. The idle time-out bounds a caller that stops short, as for a head that is not complete.

--- a/src/libnode/admin.c
+++ b/src/libnode/admin.c
@@ -81,7 +81,11 @@
 		*request = &begun;
 		return MHD_YES;
 	}
-	*upload_size = 0;
+	/* libmicrohttpd takes no response while a body is being received. */
+	if (*upload_size) {
+		*upload_size = 0;
+		return MHD_YES;
+	}
 	if (strcmp(method, "GET") != 0)
 		return respond(c, 405, "text/plain", "only GET is allowed");
 	if (!strcmp(url, "/metrics"))
