Executor: an answer before a long body is kept

What callers saw: 502 (ran), or 504, in place of a success that the backend server had given in full, when it answered before it had read a long body and then closed the connection or read no more until the time was over.

Cause: libcurl goes on to send the body after a status below 300. When the connection is reset or the time ends, it reports that, and the answer, complete by its Content-Length, counted as truncated or timed out. Class: a close with bytes unread ends an answer.

Change: a response whose declared length was received is complete, whatever ends the sending. One in chunks is not covered, since libcurl does not tell that its end came. The answer is still passed on only when the sending ends.

--- a/src/libnode/executor.c
+++ b/src/libnode/executor.c
@@ -159,6 +159,16 @@
 	       (x->request_id && x->head_complete && !x->identified);
 }
 
+/* Whether all that the response declares was received. */
+static bool has_declared_length(const struct bb_execution *x)
+{
+	curl_off_t length = -1;
+
+	curl_easy_getinfo(x->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+	return x->head_complete && x->has_content_length &&
+	       length == (curl_off_t)x->response_body->len;
+}
+
 static enum bb_execution_end classify(const struct bb_execution *x,
 				      CURLcode code, long status)
 {
@@ -187,6 +197,10 @@
 		return x->body_length_known || x->dialect->close_ends_body ?
 			       BB_EXECUTION_DONE :
 			       BB_EXECUTION_TRUNCATED;
+	/* A backend server may answer before it has read the request body; libcurl
+	 * goes on to send it, and fails or times out then. */
+	if (has_declared_length(x))
+		return BB_EXECUTION_DONE;
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &request_size);
 	if (!request_size && !x->head_complete)
 		return BB_EXECUTION_NOT_SENT;
--- a/src/test_lib/test_executor.cc
+++ b/src/test_lib/test_executor.cc
@@ -748,6 +748,120 @@
 		}
 }
 
+namespace
+{
+
+// What it does after an answer that it gave before it had read the body.
+enum Then { READS_ON, READS_NO_MORE, CLOSES, THEN_COUNT };
+
+// Answers before it has read a long body, and keeps what it gets then.
+struct EarlyServer {
+	const std::string response;
+	const Then then;
+	std::atomic<bool> released{ false };
+	int fd;
+	std::string url;
+	std::atomic<int> connections{ 0 };
+	std::vector<std::string> received{ 2 };
+	std::thread thread;
+
+	EarlyServer(const std::string &response, Then then)
+	    : response(response), then(then)
+	{
+		fd = listening_socket(&url);
+		thread = std::thread([this] {
+			for (int c; (c = accept(fd, nullptr, nullptr)) >= 0;)
+				serve(c, connections++);
+		});
+	}
+	~EarlyServer()
+	{
+		stop();
+		close(fd);
+	}
+	void stop()
+	{
+		released = true;
+		shutdown(fd, SHUT_RDWR);
+		if (thread.joinable())
+			thread.join();
+	}
+	void serve(int c, int nr)
+	{
+		std::string &all = received[(size_t)MIN(nr, 1)];
+		char buffer[65536];
+		ssize_t n;
+
+		while (all.find("\r\n\r\n") == std::string::npos) {
+			n = recv(c, buffer, 1, 0);
+			if (n <= 0)
+				break;
+			all.append(buffer, (size_t)n);
+		}
+		send_text(c, response);
+		usleep(50000);
+		while (then == READS_NO_MORE && !released)
+			usleep(1000);
+		while (then == READS_ON &&
+		       (n = recv(c, buffer, sizeof(buffer), 0)) > 0)
+			all.append(buffer, (size_t)n);
+		close(c);
+	}
+};
+
+} // namespace
+
+// Guards against an answer that is lost because the backend server gave it before
+// it had read a long body, and against other bytes where the rest is due.
+TEST(Executor, AnswerBeforeALongBodyIsKept)
+{
+	const std::string body(8000000, 'b');
+	const struct bb_header id = { { "X-Id", 4 }, { "one", 3 } };
+
+	for (const char *status : { "200 OK", "413 Too Large", "503 Busy" })
+		for (int i = 0; i < 2 * THEN_COUNT; i++) {
+			const Then then = (Then)(i / 2);
+			EarlyServer s("HTTP/1.1 " + std::string(status) +
+					      "\r\nX-Id: one\r\n"
+					      "Content-Length: 1\r\n\r\n1",
+				      then);
+			struct bb_execution_request r = {};
+			Result first, second;
+			size_t at, end;
+			Caller c;
+
+			r.url = s.url.c_str();
+			r.target = { "/x", 2 };
+			r.method = { "POST", 4 };
+			r.headers = &id;
+			r.headers_nr = 1;
+			r.body = { body.data(), body.size() };
+			r.timeout_us = then == READS_NO_MORE ? 500000 :
+							       10000000;
+			r.max_body = 100;
+			r.at_most_once = i % 2;
+			r.dialect = &kDialect;
+			bb_executor_start(c.executor, &r, keep_result, &first,
+					  nullptr);
+			c.wait(first);
+			EXPECT_EQ(BB_EXECUTION_DONE, first.end) << status << i;
+			EXPECT_EQ("1", first.body) << status << i;
+			EXPECT_EQ(1, s.connections) << status << i;
+			if (then != READS_ON)
+				continue;
+			c.start(s.url, "one", &second, false, 200000);
+			c.wait(second);
+			bb_executor_delete(c.executor);
+			c.executor = bb_executor_new(c.context, nullptr);
+			s.stop();
+			at = s.received[0].find("\r\n\r\n") + 4;
+			end = s.received[0].find_first_not_of('b', at);
+			EXPECT_TRUE(end == std::string::npos ||
+				    end == at + body.size())
+				<< status << i;
+		}
+}
+
 // Guards against a refusal by the backend server that counts as run, and
 // against a plain 503, after which the request may have run, that counts as a
 // refusal.
