Front: the header of a test's answer outlives its use

Front.LongHeadsDoNotCostTheAnswer passed on the name of a header that was freed; the address sanitizer showed it.

--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -387,7 +387,7 @@
 
 			self->calls_.push_back(s);
 		}
-		struct bb_header large = { bytes("X-Large"),
+		struct bb_header large = { { "X-Large", 7 },
 					   bytes(self->answer_header_) };
 
 		bb_call_answer(c, 200, &large,
