Front: failing test of callers that announce a body and send it at once

A refused request with "Expect: 100-continue" is answered before its body, and libmicrohttpd closes the connection. A caller that does not wait (RFC 9110, 10.1.1 allows that) is reset while it sends. The early answer of the front cannot be used here as it is: libmicrohttpd would send "100 Continue" after it.

--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -825,6 +825,16 @@
 		EXPECT_NE("closed", ask("GET /book", headers(size))) << size;
 }
 
+// Guards against a refusal that a caller does not get because it announces its
+// body with "Expect: 100-continue" and sends it without a wait.
+TEST_F(FrontLongBody, ExpectingCallerThatDoesNotWaitIsAnswered)
+{
+	for (size_t size : { 1000, 100000, 900000, 3000000, 8000000 })
+		EXPECT_EQ("401 not-run",
+			  whole("POST /book", "Expect: 100-continue\r\n", size))
+			<< size;
+}
+
 // Guards against equal hashes for idempotency keys of different accounts or
 // routes.
 TEST_F(Front, IdempotencyKeysAreSeparate)
