--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -845,6 +845,82 @@
 	}
 }
 
+// Guards against requests that libmicrohttpd itself answers being counted as
+// unanswered.
+TEST_F(Front, RequestRefusedByTheParserIsNotCountedAsUnanswered)
+{
+	uint64_t before = bb_metrics_get(BB_METRIC_UNANSWERED);
+
+	EXPECT_EQ("400", ask("GET /book", "Content-Length: x\r\n"));
+	EXPECT_EQ("431",
+		  ask("GET /book", "X-A: " + std::string(40000, 'x') + "\r\n"));
+	bb_front_finish(front_);
+	EXPECT_EQ(before, bb_metrics_get(BB_METRIC_UNANSWERED));
+}
+
+// Guards against what follows a refused body being taken for a request, and
+// against an answer of libmicrohttpd after that of the refusal.
+TEST_F(FrontLongBody, NothingFollowsAnEarlyAnswer)
+{
+	const std::string head = "POST /book HTTP/1.1\r\nHost: h\r\n";
+	const std::string body(3000000, 'x'),
+		next = request("GET /book", KEY, "");
+
+	for (const std::string &sent :
+	     { head + "Content-Length: 3000000\r\n\r\n" + body + next,
+	       head + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" +
+		       std::string(0x200000, 'x') + "\r\nnone\r\n" + next,
+	       "HEAD /book HTTP/1.1\r\nHost: h\r\n"
+	       "Content-Length: 3000000\r\n\r\n" +
+		       body + next }) {
+		std::string answer;
+
+		ask("GET /book", "");
+		(void)!send(fd_, sent.data(), sent.size(), MSG_NOSIGNAL);
+		answer = read_to_end();
+		EXPECT_EQ(sent[0] == 'H' ? "405 not-run" : "401 not-run",
+			  status(answer));
+		EXPECT_EQ(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+		if (sent[0] == 'H')
+			EXPECT_EQ(answer.size(), answer.find("\r\n\r\n") + 4);
+	}
+	EXPECT_EQ(0u, submitted());
+}
+
+// Guards against a request that ran and gets no answer because its head and that
+// of the response do not fit in the memory of a connection together.
+TEST_F(Front, LongHeadsDoNotCostTheAnswer)
+{
+	const auto headers = [](size_t size) {
+		std::string s = KEY;
+
+		for (size_t n; size; size -= n) {
+			n = MIN(size, (size_t)1000);
+			s += "X-A: " + std::string(n, 'x') + "\r\n";
+		}
+		return s;
+	};
+
+	for (size_t size : { 1000, 16000, 24000, 40000 }) {
+		large_value_ = std::string(size, 'y');
+		EXPECT_NE("closed", ask("GET /book", KEY)) << size;
+		EXPECT_NE("closed", ask("GET /book", headers(12000))) << size;
+	}
+	large_value_ = "";
+	for (size_t size = 29000; size < 31000; size += 50)
+		EXPECT_NE("closed", ask("GET /book", headers(size))) << size;
+}
+
+// Guards against a refusal that a caller does not get because it announces its
+// body with "Expect: 100-continue" and sends it without a wait.
+TEST_F(FrontLongBody, ExpectingCallerThatDoesNotWaitIsAnswered)
+{
+	for (size_t size : { 1000, 100000, 900000, 3000000, 8000000 })
+		EXPECT_EQ("401 not-run",
+			  whole("POST /book", "Expect: 100-continue\r\n", size))
+			<< size;
+}
+
 // Guards against equal hashes for idempotency keys of different accounts or
 // routes.
 TEST_F(Front, IdempotencyKeysAreSeparate)
