Front: a head that leaves no room for an answer is refused

What callers saw: a request with a head of about 32.4 to 32.6 KB was executed, and the connection was closed with neither an answer nor a refusal.

Cause: libmicrohttpd builds the head of a response in the memory of the connection, beside the head of the request. What is left there can be too little even for a refusal.

--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -223,6 +223,12 @@
 	return bytes;
 }
 
+bool bb_answer_has_room(const struct bb_call *c)
+{
+	return request_bytes(c->connection) + RESPONSE_FIXED_BYTES <=
+	       BB_CONNECTION_MEMORY_BYTES;
+}
+
 /* libmicrohttpd would close the connection without a response. */
 static void fail_if_unusable(struct bb_call *c)
 {
--- a/src/libnode/answer.h
+++ b/src/libnode/answer.h
@@ -31,6 +31,14 @@
 				struct bb_request_history *history,
 				struct bb_body_memory *memory);
 
+/**
+ * bb_answer_has_room() - whether a refusal of a call fits into the memory of its
+ * connection, beside the head of the request.
+ *
+ * If not, only bb_answer_send_early() can answer it.
+ */
+bool bb_answer_has_room(const struct bb_call *c);
+
 /**
  * bb_answer_send_early() - send a refusal before the body of its request is in.
  * @c: call with its refusal set
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -326,6 +326,10 @@
 {
 	bool at_once = is_refused_at_once(reason);
 
+	if (!bb_answer_has_room(c)) {
+		bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, 0);
+		return answer_early(f, c);
+	}
 	if (has_header(c, "Expect") || (at_once && !has_body(c)))
 		return refuse(f, c, reason);
 	bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, 0);
@@ -342,6 +346,8 @@
 	c->method = g_strdup(method);
 	c->declared_size = declared_length(c);
 	reason = bb_front_admit(f, c);
+	if (!reason && !bb_answer_has_room(c))
+		reason = BB_REASON_HEADERS_TOO_LARGE;
 	if (!reason && !claim_declared(f, c))
 		reason = BB_REASON_BODY_MEMORY;
 	if (reason)
