Tests: crowds at several nodes, answers that are not read

caller_crowd learns to stop after some bytes, to close its sending direction, to leave, and to get answers that it does not read. The stand-in of a backend server answers with up to 16 MiB. crowd_run_at plays one crowd at each of several nodes and asks for ordinary requests afterwards.

--- a/src/test_e2e/crowd.sh
+++ b/src/test_e2e/crowd.sh
@@ -96,6 +96,68 @@
 	crowd_stop_fleet
 }
 
+# crowd_run_at HOSTS WHAT MEMORY_MB [flags of caller_crowd]: starts new nodes and
+# lets a crowd of $crowd_callers come at each of these nodes. While they stay it
+# calls $crowd_meanwhile, if set; after they have left, ordinary requests must be
+# served by all nodes. The bound on memory is that on the peak of each node.
+crowd_nodes=2
+crowd_backends=2
+crowd_run_at() {
+	local hosts=$1 what=$2 memory_mb=$3 h
+	shift 3
+	crowd_number=$((${crowd_number:-0} + 1))
+	fleet_start "$crowd_nodes" "$crowd_backends" || exit 1
+	head -c 1024 /dev/zero | tr '\0' x >"$fleet_dir/booking"
+	for h in $hosts; do
+		crowd_start "$h" "$@"
+	done
+	for h in $hosts; do
+		fleet_wait_for "$what: the crowd at host$h has settled" \
+			crowd_at_has_settled "$h"
+	done
+	${crowd_meanwhile:-}
+	crowd_expect_bounds "$what, meanwhile" "$memory_mb"
+	for h in $hosts; do
+		expect "$what: the crowd at host$h stayed" yes \
+			"$(kill -0 "${fleet_pid[crowd$h]}" && echo yes)"
+		fleet_kill "crowd$h" TERM
+		sed "s/^/$what: crowd at host$h: /" "$fleet_dir/crowd$h.log"
+	done
+	for ((h = 0; h < crowd_nodes; h++)); do
+		fleet_wait_for "$what: request at host$h after the crowd" \
+			crowd_serves_request "$h"
+		fleet_wait_for "$what: booking of 1 KB at host$h after the crowd" \
+			crowd_serves_booking "$h"
+	done
+	crowd_expect_bounds "$what" "$memory_mb"
+	crowd_stop_fleet
+}
+
+crowd_start() { # host number, flags of caller_crowd
+	local h=$1
+	shift
+	: >"$fleet_dir/crowd$h.log"
+	"$build/caller_crowd" --address "$fleet_address" \
+		--port "$(fleet_port "$h")" --callers "$crowd_callers" \
+		--key key-one --key key-two --sources 4 \
+		--limit-s "$crowd_time_limit_s" "$@" >"$fleet_dir/crowd$h.log" &
+	fleet_pid[crowd$h]=$!
+}
+
+crowd_at_has_settled() { # host number
+	kill -0 "${fleet_pid[crowd$1]}" 2>/dev/null || return 0
+	grep -q ^settled "$fleet_dir/crowd$1.log"
+}
+
+crowd_serves_request() { # host number
+	[ "$(fleet_call "$1" GET /profiles/7 "after-$RANDOM")" = "200 ran" ]
+}
+
+crowd_serves_booking() { # host number
+	[ "$(fleet_call "$1" POST /orders "booked-$RANDOM" \
+		--data-binary "@$fleet_dir/booking")" = "200 ran" ]
+}
+
 # The node may learn some time after the crowd has left that it is gone.
 crowd_serves_large() {
 	[ "$(fleet_call 0 POST /orders "large-$crowd_number-$RANDOM" \
--- a/src/test_e2e/fleet.sh
+++ b/src/test_e2e/fleet.sh
@@ -84,7 +84,7 @@
 "services":[{"name":"orders","floor_percent":60}],
 "backends":[${backends%,}],
 "routes":[
-{"name":"book","path_prefix":"/orders","methods":["POST"],"service":"orders",
+{"name":"book","path_prefix":"${fleet_book_prefix:-/orders}","methods":["POST"],"service":"orders",
 "idempotent":false,"access":"open","max_body_bytes":${fleet_max_body_bytes:-65536},
 "timeout_ms":${fleet_timeout_ms:-2000}},
 {"name":"lookup","path_prefix":"/profiles","methods":["GET"],
--- a/src/tools/backend_standin.c
+++ b/src/tools/backend_standin.c
@@ -30,7 +30,7 @@
 #include "baobabward/clock.h"
 
 /* Largest N of ?padding=N; larger ones are reduced to it. */
-#define PADDING_MAX_BYTES (1u << 20)
+#define PADDING_MAX_BYTES (16u << 20)
 
 /**
  * struct standin - counts and mode, guarded by @lock.
--- a/src/tools/caller_crowd.c
+++ b/src/tools/caller_crowd.c
@@ -1,8 +1,10 @@
 /*
  * Simulates a crowd of hostile callers: each sends the head and the body of one
  * request, and most stop one byte short of the end and keep the connection open.
- * A caller that gets an answer or whose connection is closed comes back after a
- * pause, so that the crowd stays until this program ends.
+ * Options let them stop earlier, close their sending direction, leave without an
+ * answer or never read one. A caller that gets an answer or whose connection is
+ * closed comes back after a pause, so that the crowd stays until this program
+ * ends.
  *
  * Prints "settled" with counts as soon as each caller has once stopped short,
  * got an answer, lost its connection or sent nothing for STALLED_US because the
@@ -28,6 +30,9 @@
 #define BODY_MAX_BYTES (64 * 1024 * 1024)
 /* Time without a byte sent after which a caller counts as stalled. */
 #define STALLED_US (2 * BB_US_PER_S)
+/* Receive buffer of callers that do not read, so that the rest of an answer stays
+ * at the node. */
+#define UNREAD_BUFFER_BYTES 4096
 /* Longest sleep, so that pieces that are due and the limit are noticed. */
 #define POLL_MS 5
 /* Source addresses are 127.0.1.1, 127.0.1.2 and so on. */
@@ -38,7 +43,9 @@
 static char *address = NULL;
 static int port = 0;
 static char *path = NULL;
+static char *method = NULL;
 static char **keys;
+static char **headers;
 static int callers_nr = 100;
 static int body_bytes = 1024 * 1024;
 static int announce_bytes = 0;
@@ -46,6 +53,11 @@
 static int piece_bytes = 65536;
 static int piece_ms = 0;
 static int short_percent = 90;
+static int stop_after = -1;
+static gboolean half_close = FALSE;
+static gboolean no_read = FALSE;
+static gboolean hold_answer = FALSE;
+static int patience_ms = 0;
 static int sources = 1;
 static int return_ms = 500;
 static int limit_s = 120;
@@ -56,6 +68,10 @@
 	{ "port", 'p', 0, G_OPTION_ARG_INT, &port, "port of the node", "PORT" },
 	{ "path", 0, 0, G_OPTION_ARG_STRING, (void *)&path,
 	  "target of the requests, by default /orders", "PATH" },
+	{ "method", 0, 0, G_OPTION_ARG_STRING, (void *)&method,
+	  "method of the requests, by default POST", "METHOD" },
+	{ "header", 0, 0, G_OPTION_ARG_STRING_ARRAY, (void *)&headers,
+	  "additional header line; may be repeated", "LINE" },
 	{ "key", 'k', 0, G_OPTION_ARG_STRING_ARRAY, (void *)&keys,
 	  "key of a client account; may be repeated", "KEY" },
 	{ "callers", 'c', 0, G_OPTION_ARG_INT, &callers_nr, "number of callers",
@@ -74,6 +90,20 @@
 	  "pause between two writes", "MS" },
 	{ "short-percent", 0, 0, G_OPTION_ARG_INT, &short_percent,
 	  "share of callers that stop one byte short", "PERCENT" },
+	{ "stop-after", 0, 0, G_OPTION_ARG_INT, &stop_after,
+	  "bytes after the head at which these callers stop instead", "BYTES" },
+	{ "half-close", 0, 0, G_OPTION_ARG_NONE, &half_close,
+	  "close the sending direction after the last byte", NULL },
+	{ "no-read", 0, 0, G_OPTION_ARG_NONE, &no_read, "never read the answer",
+	  NULL },
+	{ "hold-answer", 0, 0, G_OPTION_ARG_NONE, &hold_answer,
+	  "read no more than the beginning of an answer with status 200, and "
+	  "stay",
+	  NULL },
+	{ "patience-ms", 0, 0, G_OPTION_ARG_INT, &patience_ms,
+	  "time without a byte sent after which a caller leaves, by default "
+	  "it stays",
+	  "MS" },
 	{ "sources", 0, 0, G_OPTION_ARG_INT, &sources,
 	  "number of source addresses", "N" },
 	{ "return-ms", 0, 0, G_OPTION_ARG_INT, &return_ms,
@@ -86,7 +116,7 @@
 /**
  * struct script - what callers with one key send.
  * @text: head and complete body
- * @short_size: size up to one byte before the end of the body
+ * @short_size: size at which callers stop that stop short
  */
 struct script {
 	GString *text;
@@ -102,6 +132,7 @@
  * @sent: bytes sent on this connection
  * @progress_us: when it last connected or sent a byte
  * @due_us: time of the next write, or of the next connection
+ * @holds: has got an answer with status 200 and does not read it to its end
  * @settled: see the head of this file; stays set
  */
 struct caller {
@@ -112,6 +143,7 @@
 	size_t sent;
 	int64_t progress_us;
 	int64_t due_us;
+	bool holds;
 	bool settled;
 };
 
@@ -169,9 +201,13 @@
 {
 	struct script s = { .text = g_string_new(NULL) };
 
-	g_string_append_printf(s.text, "POST %s HTTP/1.1\r\nHost: crowd\r\n",
-			       path);
-	g_string_append(s.text, "X-Test-Id: crowd\r\n");
+	size_t head_size;
+
+	g_string_append_printf(s.text, "%s %s HTTP/1.1\r\n", method, path);
+	for (char **h = headers; h && *h; h++)
+		g_string_append_printf(s.text, "%s\r\n", *h);
+	if (!headers)
+		g_string_append(s.text, "Host: crowd\r\nX-Test-Id: crowd\r\n");
 	if (key)
 		g_string_append_printf(s.text, "Authorization: Bearer %s\r\n",
 				       key);
@@ -181,7 +217,10 @@
 		g_string_append_printf(s.text, "Content-Length: %d\r\n\r\n",
 				       announce_bytes ? announce_bytes :
 							body_bytes);
+	head_size = s.text->len;
 	append_body(&s);
+	if (stop_after >= 0)
+		s.short_size = MIN(head_size + (size_t)stop_after, s.text->len);
 	return s;
 }
 
@@ -207,10 +246,15 @@
 		.sin_family = AF_INET,
 		.sin_addr.s_addr = htonl(FIRST_SOURCE + c->source),
 	};
+	const int buffer_bytes = UNREAD_BUFFER_BYTES;
 
 	inet_pton(AF_INET, address, &to.sin_addr);
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (no_read || hold_answer)
+		setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+			   sizeof(buffer_bytes));
 	c->sent = 0;
+	c->holds = false;
 	c->progress_us = now_us;
 	c->due_us = now_us;
 	if (c->fd >= 0 &&
@@ -237,15 +281,18 @@
 		c->progress_us = now_us;
 		if (piece_ms)
 			c->due_us = now_us + piece_ms * BB_US_PER_MS;
-		if (c->sent == size)
-			w->reached_end++;
+		if (c->sent < size)
+			continue;
+		w->reached_end++;
+		if (half_close)
+			shutdown(c->fd, SHUT_WR);
 	}
 	if (c->sent == size && c->stops_short)
 		c->settled = true;
 }
 
-/* Reads an answer or the end of the connection, after either of which the
- * caller leaves. */
+/* Reads the beginning of an answer or the end of the connection, after either of
+ * which the caller leaves unless it holds its answer. */
 static void read_answer(struct crowd *w, struct caller *c, int64_t now_us)
 {
 	char text[4096];
@@ -262,7 +309,15 @@
 	}
 	if (!status)
 		w->closed++;
-	leave(c, now_us);
+	c->holds = hold_answer && status == 200;
+	c->settled |= c->holds;
+	if (!c->holds)
+		leave(c, now_us);
+}
+
+static bool does_not_read(const struct caller *c)
+{
+	return no_read || c->holds;
 }
 
 static void serve(struct crowd *w, struct caller *c, short events)
@@ -274,18 +329,25 @@
 			come(w, c, now_us);
 		return;
 	}
-	if (events & (POLLIN | POLLHUP | POLLERR))
+	if (does_not_read(c) && events & (POLLHUP | POLLERR)) {
+		w->closed++;
+		leave(c, now_us);
+	} else if (!does_not_read(c) && events & (POLLIN | POLLHUP | POLLERR)) {
 		read_answer(w, c, now_us);
+	}
 	if (c->fd >= 0 && events & POLLOUT)
 		send_more(w, c, now_us);
 	if (now_us - c->progress_us > STALLED_US)
 		c->settled = true;
+	if (c->fd >= 0 && patience_ms &&
+	    now_us - c->progress_us > patience_ms * BB_US_PER_MS)
+		leave(c, now_us);
 }
 
 static void fill_poll(struct pollfd *p, const struct caller *c, int64_t now_us)
 {
 	p->fd = c->fd;
-	p->events = POLLIN;
+	p->events = does_not_read(c) ? 0 : POLLIN;
 	p->revents = 0;
 	if (c->sent < wanted_size(c) && c->due_us <= now_us)
 		p->events |= POLLOUT;
@@ -328,11 +390,11 @@
 static bool is_valid(void)
 {
 	return port > 0 && port < 65536 && callers_nr > 0 &&
-	       callers_nr <= CALLERS_MAX && body_bytes > 0 &&
+	       callers_nr <= CALLERS_MAX && body_bytes >= 0 &&
 	       body_bytes <= BODY_MAX_BYTES && chunk_bytes >= 0 &&
 	       piece_bytes > 0 && piece_ms >= 0 && sources > 0 &&
 	       sources < 250 && return_ms >= 0 && limit_s > 0 &&
-	       announce_bytes >= 0;
+	       announce_bytes >= 0 && stop_after >= -1 && patience_ms >= 0;
 }
 
 static void run(struct crowd *w)
@@ -385,6 +447,8 @@
 		address = g_strdup("127.0.0.1");
 	if (!path)
 		path = g_strdup("/orders");
+	if (!method)
+		method = g_strdup("POST");
 	if (!is_valid()) {
 		fprintf(stderr, "caller_crowd: an option is not valid\n");
 		return 2;
@@ -397,6 +461,8 @@
 	g_free(w.callers);
 	g_free(w.polls);
 	g_strfreev(keys);
+	g_strfreev(headers);
+	g_free(method);
 	g_free(address);
 	g_free(path);
 	return 0;
