--- a/src/test_e2e/crowd.sh
+++ b/src/test_e2e/crowd.sh
@@ -97,11 +97,13 @@
 }
 
 # crowd_run_at HOSTS WHAT MEMORY_MB [flags of caller_crowd]: starts new nodes and
-# lets a crowd of $crowd_callers come at each of these nodes. While they stay it
-# calls $crowd_meanwhile, if set; after they have left, ordinary requests must be
-# served by all nodes. The bound on memory is that on the peak of each node.
+# lets a crowd of $crowd_callers come at each of these nodes. They stay while
+# $crowd_meanwhile runs; after they have left, ordinary requests must be served by
+# all nodes. The bound on memory is that on the peak of each node.
 crowd_nodes=2
 crowd_backends=2
+# Refused callers come back several times in this time.
+crowd_meanwhile="sleep 5"
 crowd_run_at() {
 	local hosts=$1 what=$2 memory_mb=$3 h
 	shift 3
@@ -115,7 +117,7 @@
 		fleet_wait_for "$what: the crowd at host$h has settled" \
 			crowd_at_has_settled "$h"
 	done
-	${crowd_meanwhile:-}
+	$crowd_meanwhile
 	crowd_expect_bounds "$what, meanwhile" "$memory_mb"
 	for h in $hosts; do
 		expect "$what: the crowd at host$h stayed" yes \
