Tests: processes must end after a crowd

A node that hung was waited for without end: the test ran into its time limit, and the node kept its ports. The end within the time of the other waits is a check now, and what hangs is killed.

--- a/src/test_e2e/crowd.sh
+++ b/src/test_e2e/crowd.sh
@@ -166,9 +166,30 @@
 		-H "Expect:" --data-binary "@$fleet_dir/large")" = "200 ran" ]
 }
 
+crowd_has_ended() { # name of a process of the fleet
+	! kill -0 "${fleet_pid[$1]}" 2>/dev/null
+}
+
+# All processes must end. One that hangs is killed, so that it does not disturb
+# the next nodes.
 crowd_stop_fleet() {
 	local name
 	for name in "${!fleet_pid[@]}"; do
-		fleet_kill "$name" TERM
+		kill -TERM "${fleet_pid[$name]}"
+	done
+	for name in "${!fleet_pid[@]}"; do
+		fleet_wait_for "$name ends" crowd_has_ended "$name" ||
+			kill -KILL "${fleet_pid[$name]}"
+		wait "${fleet_pid[$name]}" 2>/dev/null
+		unset "fleet_pid[$name]"
+	done
+}
+
+crowd_at_exit() {
+	local p
+	for p in "${fleet_pid[@]}"; do
+		kill -KILL "$p" 2>/dev/null
 	done
+	fleet_stop
 }
+trap crowd_at_exit EXIT
