Front: more callers than the limit do not hang the node

Change: the front counts connections from their hand-over to their end, and the listener keeps the limit by this count. The limit of libmicrohttpd is one that it never reaches.

--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -18,8 +18,6 @@
 #include "baobabward/retry_after.h"
 #include "libnode/answer.h"
 
-/* Memory for the request line and headers of a connection. */
-#define CONNECTION_MEMORY_BYTES (32u * 1024)
 /*
  * Bytes of a refused request's body that are read before the answer, so that the
  * connection can be kept.
@@ -591,6 +589,18 @@
 	ck_pr_dec_uint(&f->open_requests);
 }
 
+static void on_connection(void *data, struct MHD_Connection *connection,
+			  void **context,
+			  enum MHD_ConnectionNotificationCode what)
+{
+	struct bb_front *f = data;
+
+	(void)connection;
+	(void)context;
+	if (what == MHD_CONNECTION_NOTIFY_CLOSED)
+		ck_pr_dec_uint(&f->open_connections);
+}
+
 static void on_log(void *data, const char *format, va_list ap)
 {
 	char line[256];
@@ -618,8 +628,10 @@
 {
 	struct bb_front *f = data;
 
+	ck_pr_inc_uint(&f->open_connections);
 	/* On failure, libmicrohttpd has closed the socket. */
-	MHD_add_connection(f->daemon, fd, sa, size);
+	if (MHD_add_connection(f->daemon, fd, sa, size) != MHD_YES)
+		ck_pr_dec_uint(&f->open_connections);
 }
 
 static bool is_at_connection_limit(void *data)
@@ -629,6 +641,16 @@
 	return bb_front_connections(f) >= f->o.connection_limit;
 }
 
+/*
+ * A limit that libmicrohttpd never reaches, since it divides the limit between its
+ * threads and checks it after it has queued connections: one over the limit makes
+ * the thread wait for a mutex that it holds (0.9.75). The listener keeps the limit.
+ */
+static unsigned int daemon_connection_limit(const struct bb_front *f)
+{
+	return (f->o.connection_limit + SOMAXCONN) * MAX(1, f->o.threads);
+}
+
 int bb_front_init(struct bb_front *f, struct bb_error *err)
 {
 	struct bb_listener_options lo = {
@@ -650,8 +672,9 @@
 		on_log, f, MHD_OPTION_URI_LOG_CALLBACK, on_uri, f,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, f,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_LIMIT,
-		f->o.connection_limit, MHD_OPTION_CONNECTION_TIMEOUT,
+		(size_t)BB_CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_LIMIT,
+		daemon_connection_limit(f), MHD_OPTION_NOTIFY_CONNECTION,
+		on_connection, f, MHD_OPTION_CONNECTION_TIMEOUT,
 		f->o.idle_timeout_s, MHD_OPTION_THREAD_POOL_SIZE, f->o.threads,
 		MHD_OPTION_END);
 	if (!f->daemon)
@@ -682,13 +705,7 @@
 
 unsigned int bb_front_connections(struct bb_front *f)
 {
-	const union MHD_DaemonInfo *info;
-
-	if (!f->daemon)
-		return 0;
-	info = MHD_get_daemon_info(f->daemon,
-				   MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-	return info ? info->num_connections : 0;
+	return ck_pr_load_uint(&f->open_connections);
 }
 
 unsigned int bb_front_requests(struct bb_front *f)
--- a/src/libnode/front_private.h
+++ b/src/libnode/front_private.h
@@ -17,6 +17,7 @@
  * @daemon: libmicrohttpd's server
  * @listener: accepts connections for @daemon
  * @last_sequence: sequence number of the last call; atomic
+ * @open_connections: number of connections accepted and not yet closed; atomic
  * @open_requests: requests received and not yet answered; atomic
  * @suspended_calls: calls submitted to the traffic thread whose answer is not
  *                   queued yet; atomic
@@ -29,6 +30,7 @@
 	struct MHD_Daemon *daemon;
 	struct bb_listener *listener;
 	uint64_t last_sequence;
+	unsigned int open_connections;
 	unsigned int open_requests;
 	unsigned int suspended_calls;
 	int draining;
