Front: a refused caller that goes on to send is cut off in the end

Cause: what is read after an early answer was bounded in bytes only.

Change: it is bounded in time as well, 30 s, and 2 s while the node stops. The limit in bytes has a name that says that it is one.

--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -24,10 +24,15 @@
  */
 #define ANSWER_EARLY_BYTES ((size_t)1024 * 1024)
 /*
- * Bytes of it that are read in any case, so that a body of legal size is read to
- * its end although a configuration lowered the limit meanwhile.
+ * Bytes of it that are read at most, unless the configuration allows larger bodies.
+ * A constant, since a configuration may have lowered the limit meanwhile.
  */
-#define DISCARD_MIN_BYTES ((size_t)64 * 1024 * 1024)
+#define DISCARD_BYTES ((size_t)64 * 1024 * 1024)
+
+/* Longest time to read on after an early answer, also while the node stops: callers
+ * that read the answer are gone by then. */
+#define DISCARD_MAX_US (30 * BB_US_PER_S)
+#define DISCARD_STOP_MAX_US (2 * BB_US_PER_S)
 
 /* Bytes by which the buffer for a body of unknown length grows at least: a page. */
 #define CAPACITY_STEP_BYTES ((size_t)4096)
@@ -256,6 +261,14 @@
 			    bb_clock_now_us());
 }
 
+/* Lists a claim for a body that is not stored, for bb_front_stalled(). */
+static void list_claim(struct bb_front *f, struct bb_call *c)
+{
+	if (!c->memory.listed)
+		begin_claim(f, c);
+	bb_body_claim_moved(f->o.memory, &c->memory, 0, bb_clock_now_us());
+}
+
 /*
  * Claims the whole body if its length is declared: one that is admitted then
  * does not fail halfway. Of a body in chunks, memory is claimed as it arrives.
@@ -289,18 +302,18 @@
  */
 static enum MHD_Result answer_early(struct bb_front *f, struct bb_call *c)
 {
+	/* Retry-After counts from now. */
 	set_refusal(c, c->answer.reason);
-	c->discard_max_bytes = MAX(DISCARD_MIN_BYTES, largest_body(c));
+	c->discard_until_us = bb_clock_now_us() + DISCARD_MAX_US;
+	c->discard_max_bytes = MAX(DISCARD_BYTES, largest_body(c));
 	if (!bb_answer_send_early(c, caller_fd(c), f->o.dialect, f->o.history))
 		return MHD_NO;
-	if (!c->memory.listed)
-		begin_claim(f, c);
 	ck_pr_store_int(&c->answered_early, 1);
-	bb_body_claim_moved(f->o.memory, &c->memory, 0, bb_clock_now_us());
+	list_claim(f, c);
 	return MHD_YES;
 }
 
-/* Whether the refusal does not wait for a body that is short. */
+/* Whether to refuse without waiting even for a short body. */
 static bool is_refused_at_once(enum bb_reason reason)
 {
 	switch (reason) {
@@ -353,6 +366,16 @@
 	return MHD_YES;
 }
 
+static bool may_discard_more(const struct bb_front *f, const struct bb_call *c)
+{
+	int64_t until_us = c->discard_until_us;
+
+	if (ck_pr_load_int(&f->draining))
+		until_us -= DISCARD_MAX_US - DISCARD_STOP_MAX_US;
+	return c->discarded_bytes <= c->discard_max_bytes &&
+	       bb_clock_now_us() < until_us;
+}
+
 /* Reads the body without storing it, so that the caller gets the refusal. */
 static enum MHD_Result discard_body(struct bb_front *f, struct bb_call *c,
 				    size_t *size)
@@ -364,7 +387,7 @@
 		return MHD_YES;
 	if (!ck_pr_load_int(&c->answered_early))
 		return answer_early(f, c);
-	return c->discarded_bytes > c->discard_max_bytes ? MHD_NO : MHD_YES;
+	return may_discard_more(f, c) ? MHD_YES : MHD_NO;
 }
 
 /* Capacity for a body of at least @size bytes. */
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -1115,10 +1115,29 @@
 		  status(send_raw("POST /book HTTP/1.1\r\nHost: h\r\n"
 				  "Content-Length: 2000000\r\n\r\nx")));
 	EXPECT_EQ(1u, bb_front_requests(front_));
-	while (bb_front_requests(front_)) {
+	for (int i = 0; i < 5000 && bb_front_requests(front_); i++) {
 		g_usleep(2000);
 		bb_body_memory_tick(memory_, bb_clock_now_us());
 	}
+	EXPECT_EQ(0u, bb_front_requests(front_));
+}
+
+// Guards against a drain that lasts as long as a refused caller goes on to send.
+TEST_F(FrontStall, RefusedCallerThatGoesOnDoesNotHoldADrain)
+{
+	const std::string piece(1000, 'x');
+	ssize_t n = 1;
+
+	ask("GET /book", "");
+	EXPECT_EQ("401 not-run",
+		  status(send_raw("POST /book HTTP/1.1\r\nHost: h\r\n"
+				  "Content-Length: 60000000\r\n\r\nx")));
+	bb_front_drain(front_);
+	for (int i = 0; i < 1500 && n > 0 && bb_front_requests(front_); i++) {
+		n = send(fd_, piece.data(), piece.size(), MSG_NOSIGNAL);
+		g_usleep(10000);
+	}
+	EXPECT_EQ(0u, bb_front_requests(front_));
 }
 
 // Guards against responses that wait for callers which do not read, and against
