Front: connections that callers have closed do not stay

What callers saw: with 200 callers at each of two nodes that close their sending direction, are refused and leave, up to 1,952 descriptors stayed for 23 s and longer (bound 300).

Change: at the end of each request, and once a second for all connections, a connection whose end is all that is left to read gets a shutdown of its receiving direction, which makes epoll tell of the end once more and changes nothing else. Refused requests have a claim as well while their bodies are read.

--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -34,6 +34,9 @@
 #define DISCARD_MAX_US (30 * BB_US_PER_S)
 #define DISCARD_STOP_MAX_US (2 * BB_US_PER_S)
 
+/* Most connections to check in one bb_front_check_callers(). */
+#define CHECKED_CALLERS_MAX 1000u
+
 /* Bytes by which the buffer for a body of unknown length grows at least: a page. */
 #define CAPACITY_STEP_BYTES ((size_t)4096)
 /* Bytes of an IPv6 address that name the network of a client. */
@@ -344,6 +347,8 @@
 	if (has_header(c, "Expect") || (at_once && !has_body(c)))
 		return refuse(f, c, reason);
 	bb_call_refuse(c, BB_VERDICT_NOT_RUN, reason, 0);
+	if (has_body(c))
+		list_claim(f, c);
 	return at_once || c->declared_size > ANSWER_EARLY_BYTES ?
 		       answer_early(f, c) :
 		       MHD_YES;
@@ -607,6 +612,8 @@
 	if (c->method && !is_answered(c, why))
 		log_unanswered(c, why);
 	bb_body_claim_end(f->o.memory, &c->memory);
+	if (caller_fd(c) >= 0)
+		bb_caller_check_end(caller_fd(c));
 	bb_call_delete(c);
 	*request = NULL;
 	ck_pr_dec_uint(&f->open_requests);
@@ -617,11 +624,19 @@
 			  enum MHD_ConnectionNotificationCode what)
 {
 	struct bb_front *f = data;
-
-	(void)connection;
-	(void)context;
-	if (what == MHD_CONNECTION_NOTIFY_CLOSED)
-		ck_pr_dec_uint(&f->open_connections);
+	const union MHD_ConnectionInfo *info;
+
+	if (what == MHD_CONNECTION_NOTIFY_STARTED) {
+		info = MHD_get_connection_info(
+			connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+		*context =
+			info ? bb_callers_open(f->callers, info->connect_fd) :
+			       NULL;
+		return;
+	}
+	bb_callers_close(f->callers, *context);
+	*context = NULL;
+	ck_pr_dec_uint(&f->open_connections);
 }
 
 static void on_log(void *data, const char *format, va_list ap)
@@ -643,6 +658,7 @@
 	if (!f->o.dialect)
 		f->o.dialect = &bb_dialect_default;
 	f->address = g_strdup(o->address);
+	f->callers = bb_callers_new();
 	return f;
 }
 
@@ -731,6 +747,11 @@
 	return ck_pr_load_uint(&f->open_connections);
 }
 
+void bb_front_check_callers(struct bb_front *f)
+{
+	bb_callers_check(f->callers, CHECKED_CALLERS_MAX);
+}
+
 unsigned int bb_front_requests(struct bb_front *f)
 {
 	return ck_pr_load_uint(&f->open_requests);
@@ -756,6 +777,7 @@
 	if (!f)
 		return;
 	bb_front_finish(f);
+	bb_callers_delete(f->callers);
 	g_free(f->address);
 	g_free(f);
 }
--- a/src/libnode/front.h
+++ b/src/libnode/front.h
@@ -125,6 +125,12 @@
  */
 unsigned int bb_front_connections(struct bb_front *f);
 
+/**
+ * bb_front_check_callers() - close connections whose callers are gone and that wait
+ * for the idle time-out, see callers.h. To be called from time to time.
+ */
+void bb_front_check_callers(struct bb_front *f);
+
 /**
  * bb_front_requests() - number of requests received and not yet answered.
  */
--- a/src/libnode/front_private.h
+++ b/src/libnode/front_private.h
@@ -7,6 +7,7 @@
 
 #include <microhttpd.h>
 
+#include "libnode/callers.h"
 #include "libnode/front.h"
 #include "libnode/listener.h"
 
@@ -17,6 +18,7 @@
  * @daemon: libmicrohttpd's server
  * @listener: accepts connections for @daemon
  * @last_sequence: sequence number of the last call; atomic
+ * @callers: open connections
  * @open_connections: number of connections accepted and not yet closed; atomic
  * @open_requests: requests received and not yet answered; atomic
  * @suspended_calls: calls submitted to the traffic thread whose answer is not
@@ -30,6 +32,7 @@
 	struct MHD_Daemon *daemon;
 	struct bb_listener *listener;
 	uint64_t last_sequence;
+	struct bb_callers *callers;
 	unsigned int open_connections;
 	unsigned int open_requests;
 	unsigned int suspended_calls;
--- a/src/libnode/node.c
+++ b/src/libnode/node.c
@@ -44,6 +44,8 @@
 #define CONFIG_WAIT_MAX_US (10 * BB_US_PER_S)
 /* Polling period while waiting for the start or the end of service. */
 #define POLL_US (20 * BB_US_PER_MS)
+/* Interval of looking for connections whose callers are gone. */
+#define CALLERS_INTERVAL_US (1 * BB_US_PER_S)
 /*
  * Minimum time for which a draining node waits for requests on connections
  * that are still open, because a caller may have sent one before it sees the
@@ -89,6 +91,7 @@
  * @context: main context of the control thread
  * @loop: main loop of the control thread
  * @start_timer: starts the control modules after the first configuration
+ * @callers_timer: looks for connections whose callers are gone
  * @open_timer: checks whether the front can be opened
  * @started_us: time when the traffic thread was started
  * @drain_timer: checks whether the drain is complete
@@ -118,6 +121,7 @@
 	GMainContext *context;
 	GMainLoop *loop;
 	GSource *start_timer;
+	GSource *callers_timer;
 	GSource *open_timer;
 	int64_t started_us;
 	GSource *drain_timer;
@@ -425,10 +429,20 @@
 	return 0;
 }
 
+static gboolean on_callers_timer(gpointer data)
+{
+	struct bb_node *n = data;
+
+	bb_front_check_callers(n->front);
+	return G_SOURCE_CONTINUE;
+}
+
 static int open_front(struct bb_node *n, struct bb_error *err)
 {
 	if (start_front(n, err))
 		return -1;
+	n->callers_timer = bb_loop_add_timeout(n->context, CALLERS_INTERVAL_US,
+					       on_callers_timer, n);
 	ck_pr_store_uint(&n->state, BB_NODE_RUNNING);
 	bb_log_info(BB_LOG_MAIN, "accepting callers on %s port %u",
 		    n->settings->listen, bb_front_port(n->front));
@@ -685,6 +699,7 @@
 		return;
 	bb_loop_remove(&n->start_timer);
 	bb_loop_remove(&n->open_timer);
+	bb_loop_remove(&n->callers_timer);
 	bb_loop_remove(&n->drain_timer);
 	bb_signals_delete(n->signals);
 	bb_admin_delete(n->admin);
