Store: a reader that a peer waits for ends its pause

Cause: after an outage a node that the store answers again first, with 410, asks its reader for the changes and waits up to 0.5 s. The reader slept on after its last failure, up to 0.8 s, although the request of a peer that can wait says that the store answered that peer. The peer then listed all items by itself, and a reader that returned during that list listed them as well.

--- a/include/baobabward/relay.h
+++ b/include/baobabward/relay.h
@@ -71,7 +71,7 @@
  *            which the relay has noted already, or is NULL if the registry
  *            itself must be read now; valid during the call.
  * @asked: a peer asks this node, whose evidence is too old to be passed on; a
- *         read that waits for long should begin anew
+ *         read that waits for long, or follows a pause, should begin now
  * @data: passed to both
  */
 struct bb_relay_reader {
--- a/src/libmember/relay.c
+++ b/src/libmember/relay.c
@@ -268,6 +268,8 @@
 	int64_t wait_us =
 		MIN(m->wait_ms * BB_US_PER_MS, part_us(r, WAIT_PERCENT));
 	bool first = !bb_relay_watch_us(r, now_us);
+	/* The registry answered the last read of a peer that can wait. */
+	bool may_answer = r->lost && wait_us > 0;
 
 	r->waiting_nr += !w->asked;
 	w->asked = true;
@@ -283,7 +285,7 @@
 		refuse(r, host, BB_REGISTRY_OTHER_ERA, now_us);
 		return;
 	}
-	if (first && !is_recent(r, now_us) && r->reader.asked)
+	if ((first || may_answer) && !is_recent(r, now_us) && r->reader.asked)
 		r->reader.asked(r->reader.data);
 	answer_if_due(r, host, now_us);
 }
