Body memory: large responses are bounded

Cause: an admission without a bound for one kind of claim, on the ground that its request has run.

A large response now may exceed the limit by a quarter, after those without progress have given way. One that does not fit either is freed, and its caller gets 502, reason body-memory, verdict "ran". Small responses, and a large one while there is no other, are admitted in any case. The bound does not depend on how soon responses count as stalled.

--- a/include/baobabward/body_memory.h
+++ b/include/baobabward/body_memory.h
@@ -18,7 +18,9 @@
  * - A large request body is admitted in any case while there is no other large one,
  *   of a caller or of another node, so that a single request is served whatever
  *   the limit.
- * - Responses are counted but not refused: the request has run.
+ * - Responses may exceed the limit by a quarter, since their requests have run.
+ *   Small ones, and a large one while there is no other, are admitted in any
+ *   case.
  *
  * Where a claim does not fit, bodies without progress give way, those that have
  * made none for the longest time first: request bodies that are being received,
@@ -179,7 +181,7 @@
  * @bytes: new size; a smaller one is always admitted
  * @now_us: current time
  *
- * Others may give way. A response is admitted in any case.
+ * Others may give way.
  *
  * Return: false if it is refused; the claim keeps its size.
  */
--- a/src/libcore/body_memory.c
+++ b/src/libcore/body_memory.c
@@ -15,6 +15,8 @@
  * the largest bodies of another one fit beside it.
  */
 #define SHARE_PERCENT 75
+/* Part by which responses may exceed the limit: their requests have run. */
+#define RESPONSES_OVER_PERCENT 25
 /* Part of the machine's memory for bodies where the settings name no limit. */
 #define DEFAULT_PERCENT 25
 /*
@@ -44,6 +46,7 @@
  * @small: small claims
  * @requests: large request bodies of callers
  * @large: large request bodies of callers and of other nodes
+ * @responses: large responses
  * @account: large request bodies of the same account
  * @address: large request bodies of the same client address
  * @small_account: small request bodies of the same account
@@ -54,6 +57,7 @@
 	uint64_t small;
 	uint64_t requests;
 	uint64_t large;
+	uint64_t responses;
 	uint64_t account;
 	uint64_t address;
 	uint64_t small_account;
@@ -144,7 +148,9 @@
 			u->small_address += other->bytes;
 		return;
 	}
-	if (other->stage != BB_BODY_RESPONSE)
+	if (other->stage == BB_BODY_RESPONSE)
+		u->responses += other->bytes;
+	else
 		u->large += other->bytes;
 	if (!received)
 		return;
@@ -165,6 +171,7 @@
 	u->small -= one.small;
 	u->requests -= one.requests;
 	u->large -= one.large;
+	u->responses -= one.responses;
 	u->account -= one.account;
 	u->address -= one.address;
 	u->small_account -= one.small_account;
@@ -212,6 +219,16 @@
 	       (!u->address || u->address + bytes <= share);
 }
 
+/* Whether a response of @bytes that does not fit is admitted over the limit. */
+static bool may_exceed(const struct bb_body_memory *m, uint64_t bytes,
+		       const struct usage *u)
+{
+	uint64_t over = percent_of(m->o.limit, RESPONSES_OVER_PERCENT);
+
+	return is_small(bytes) || !u->responses ||
+	       u->total + bytes <= m->o.limit + over;
+}
+
 static bool is_still(const struct bb_body_memory *m,
 		     const struct bb_body_claim *c, int64_t now_us)
 {
@@ -350,9 +367,10 @@
 			struct usage u = usage_of_others(m, c);
 
 			ok = fits(m, c, bytes, &u) ||
-			     make_room(m, c, bytes, &u, now_us);
+			     make_room(m, c, bytes, &u, now_us) ||
+			     (c->stage == BB_BODY_RESPONSE &&
+			      may_exceed(m, bytes, &u));
 		}
-		ok = ok || c->stage == BB_BODY_RESPONSE;
 	}
 	if (ok)
 		set_bytes(m, c, bytes);
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -214,7 +214,8 @@
 	bb_call_free_body(c);
 }
 
-/* Counts the response until it has been sent. */
+/* Counts the response until it has been sent. One that has no room is replaced
+ * by a failure. */
 static void claim_response(struct bb_front *f, struct bb_call *c)
 {
 	int64_t now_us = bb_clock_now_us();
@@ -224,8 +225,13 @@
 	bb_body_claim_begin(f->o.memory, &c->memory, BB_BODY_RESPONSE,
 			    account_hash(c), address_hash(c->connection),
 			    now_us);
-	bb_body_claim_resize(f->o.memory, &c->memory, c->answer.body->len,
-			     now_us);
+	if (bb_body_claim_resize(f->o.memory, &c->memory, c->answer.body->len,
+				 now_us))
+		return;
+	bb_body_claim_end(f->o.memory, &c->memory);
+	g_byte_array_unref(c->answer.body);
+	c->answer.body = NULL;
+	bb_call_refuse(c, c->answer.verdict, BB_REASON_BODY_MEMORY, 0);
 }
 
 static bool has_header(const struct bb_call *c, const char *name)
--- a/src/test_lib/test_body_memory.cc
+++ b/src/test_lib/test_body_memory.cc
@@ -315,6 +315,33 @@
 			    c->stage == BB_BODY_RECEIVED);
 }
 
+// Guards against large responses without end to callers that do not read, and
+// against a refusal of one that is small or alone.
+TEST_F(BodyMemory, LargeResponsesAreBounded)
+{
+	struct bb_body_claim *alone = begin(BB_BODY_RESPONSE, 0, 0);
+	unsigned int admitted = 0;
+
+	receive(15 * MB);
+	EXPECT_TRUE(resize(begin(BB_BODY_RESPONSE, 0, 0), 16 * KB));
+	EXPECT_TRUE(resize(alone, 64 * MB));
+	EXPECT_FALSE(resize(begin(BB_BODY_RESPONSE, 0, 0), 17 * KB));
+	EXPECT_TRUE(resize(begin(BB_BODY_RESPONSE, 0, 0), 16 * KB));
+	bb_body_claim_end(memory_, alone);
+	for (int i = 0; i < 200; i++) {
+		struct bb_body_claim *c = begin(BB_BODY_RESPONSE, 0, 0);
+
+		if (resize(c, MB))
+			admitted++;
+		move(c, 0);
+		EXPECT_TRUE(resize(begin(BB_BODY_RESPONSE, 0, 0), KB));
+	}
+	EXPECT_EQ(24u, admitted);
+	EXPECT_GE(40 * MB, total());
+	now_us_ += STALL_US;
+	EXPECT_TRUE(resize(begin(BB_BODY_RESPONSE, 0, 0), MB));
+}
+
 // Guards against small bodies without end that use up the part of small ones.
 TEST_F(BodyMemory, SmallStalledBodiesGiveWay)
 {
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -1152,6 +1152,49 @@
 	close(held);
 }
 
+namespace
+{
+// With callers that do not read but do not count as stalled yet.
+class FrontUnread : public FrontStall
+{
+      protected:
+	FrontUnread()
+	{
+		stall_us_ = 60000000;
+	}
+};
+} // namespace
+
+// Guards against memory for all answers that wait for callers which do not read,
+// and against a refusal that says that the request did not run.
+TEST_F(FrontUnread, AnswerWithoutRoomIsAFailure)
+{
+	const std::string head = request("GET /book", KEY, "");
+	std::string answer;
+	int held = connect_only();
+
+	answer_ = std::string(8 << 20, 'x');
+	EXPECT_EQ((ssize_t)head.size(),
+		  send(held, head.data(), head.size(), 0));
+	while (used() < answer_.size())
+		g_usleep(1000);
+	for (int i = 0; i < 3; i++) {
+		EXPECT_EQ("502 ran", ask("GET /book", KEY));
+		EXPECT_EQ(answer_.size(), used());
+	}
+	answer_ = std::string(16 << 10, 'x');
+	EXPECT_EQ("200 ran", ask("GET /book", KEY));
+	EXPECT_EQ(5u, submitted());
+	close(held);
+	close(keep());
+	while (bb_front_requests(front_))
+		g_usleep(1000);
+	answer_ = std::string(8 << 20, 'x');
+	answer = send_raw(head);
+	EXPECT_EQ("200 ran", status(answer));
+	EXPECT_EQ(answer_, answer.substr(answer.find("\r\n\r\n") + 4));
+}
+
 // Guards against memory that a refused body in chunks keeps.
 TEST_F(Front, RefusedChunksAreFreed)
 {
