Front: bodies over what nodes pass on are refused at once

Change: the smaller one of both limits holds at the front, 413 before the body. What is read after an early answer is bounded by the same figure, so that the largest limit of all routes need not be looked for.

--- a/src/libnode/call.h
+++ b/src/libnode/call.h
@@ -76,7 +76,6 @@
  * @memory: claim on memory for the body, then for the response
  * @received_bytes: bytes of the body that were received, also those discarded
  * @discarded_bytes: bytes of the body of a refused request that were discarded
- * @discard_max_bytes: most bytes to discard once @answered_early
  * @discard_until_us: time until which to discard it
  * @answered_early: the refusal was sent before the body was in; atomic
  * @whole: the body was received to its end
@@ -113,7 +112,6 @@
 	struct bb_body_claim memory;
 	uint64_t received_bytes;
 	size_t discarded_bytes;
-	size_t discard_max_bytes;
 	int64_t discard_until_us;
 	int answered_early;
 	bool whole;
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -23,12 +23,6 @@
  * connection can be kept.
  */
 #define ANSWER_EARLY_BYTES ((size_t)1024 * 1024)
-/*
- * Bytes of it that are read at most, unless the configuration allows larger bodies.
- * A constant, since a configuration may have lowered the limit meanwhile.
- */
-#define DISCARD_BYTES ((size_t)64 * 1024 * 1024)
-
 /* Longest time to read on after an early answer, also while the node stops: callers
  * that read the answer are gone by then. */
 #define DISCARD_MAX_US (30 * BB_US_PER_S)
@@ -293,17 +287,6 @@
 	return ok;
 }
 
-/* Largest body that a caller may send to some route. */
-static size_t largest_body(const struct bb_call *c)
-{
-	const struct bb_config *config = c->snapshot->config;
-	size_t max = 0;
-
-	for (size_t i = 0; i < config->routes_nr; i++)
-		max = MAX(max, config->routes[i].max_body_bytes);
-	return max;
-}
-
 /*
  * Answers a refused request while its body is still being received. The rest of a
  * body of legal size is read and discarded, so that the caller is not reset before
@@ -314,7 +297,6 @@
 	/* Retry-After counts from now. */
 	set_refusal(c, c->answer.reason);
 	c->discard_until_us = bb_clock_now_us() + DISCARD_MAX_US;
-	c->discard_max_bytes = MAX(DISCARD_BYTES, largest_body(c));
 	if (!bb_answer_send_early(c, caller_fd(c), f->o.dialect, f->o.history))
 		return MHD_NO;
 	ck_pr_store_int(&c->answered_early, 1);
@@ -383,7 +365,7 @@
 
 	if (ck_pr_load_int(&f->draining))
 		until_us -= DISCARD_MAX_US - DISCARD_STOP_MAX_US;
-	return c->discarded_bytes <= c->discard_max_bytes &&
+	return c->discarded_bytes <= BB_REQUEST_BODY_MAX &&
 	       bb_clock_now_us() < until_us;
 }
 
@@ -410,7 +392,7 @@
 		return (size_t)c->declared_size;
 	grown = MAX(grown, size) + CAPACITY_STEP_BYTES - 1;
 	grown -= grown % CAPACITY_STEP_BYTES;
-	return MIN(grown, MAX(size, bb_call_route(c)->max_body_bytes));
+	return MIN(grown, MAX(size, bb_front_body_max(c)));
 }
 
 /* Return: false if there is no memory for the body. The claim is pinned. */
@@ -450,7 +432,7 @@
 {
 	if (!bb_body_claim_pin(f->o.memory, &c->memory))
 		return BB_REASON_BODY_MEMORY;
-	if (c->upload_size + size > bb_call_route(c)->max_body_bytes)
+	if (c->upload_size + size > bb_front_body_max(c))
 		return BB_REASON_BODY_TOO_LARGE;
 	return append_upload(f, c, data, size) ? BB_REASON_NONE :
 						 BB_REASON_BODY_MEMORY;
--- a/src/libnode/front_admit.c
+++ b/src/libnode/front_admit.c
@@ -318,8 +318,7 @@
 	const char *s = MHD_lookup_connection_value(
 		c->connection, MHD_HEADER_KIND, "Content-Length");
 
-	if (s &&
-	    g_ascii_strtoull(s, NULL, 10) > bb_call_route(c)->max_body_bytes)
+	if (s && g_ascii_strtoull(s, NULL, 10) > bb_front_body_max(c))
 		return BB_REASON_BODY_TOO_LARGE;
 	return BB_REASON_NONE;
 }
@@ -506,7 +505,7 @@
 	if (!reason && strcmp(account, bb_call_account_name(c)) != 0)
 		reason = BB_REASON_NOT_CURRENT;
 	g_free(account);
-	if (!reason && c->body->len > bb_call_route(c)->max_body_bytes)
+	if (!reason && c->body->len > bb_front_body_max(c))
 		return BB_REASON_BODY_TOO_LARGE;
 	return reason;
 }
--- a/src/libnode/front_private.h
+++ b/src/libnode/front_private.h
@@ -5,6 +5,7 @@
 #ifndef BB_NODE_FRONT_PRIVATE_H
 #define BB_NODE_FRONT_PRIVATE_H
 
+#include <glib.h>
 #include <microhttpd.h>
 
 #include "libnode/callers.h"
@@ -40,6 +41,15 @@
 	int refusing_requests;
 };
 
+/**
+ * bb_front_body_max() - most bytes of the body of a request: the limit of its route,
+ * and what nodes pass on to each other.
+ */
+static inline size_t bb_front_body_max(const struct bb_call *c)
+{
+	return MIN(bb_call_route(c)->max_body_bytes, BB_REQUEST_BODY_MAX);
+}
+
 /**
  * bb_front_admit() - check request line and headers.
  * @f: front
--- a/src/test_lib/test_front.cc
+++ b/src/test_lib/test_front.cc
@@ -802,6 +802,18 @@
 	EXPECT_EQ(0u, submitted());
 }
 
+// Guards against a body that is received although nodes do not pass it on.
+TEST_F(FrontLongBody, BodyOverTheLimitOfNodesIsRefused)
+{
+	Document d;
+
+	d.version = "9";
+	d.routes.replace(d.routes.rfind("65536"), 5, "4000000000");
+	set_config(d);
+	EXPECT_EQ("413 not-run",
+		  ask("GET /book", KEY + "Content-Length: 67108865\r\n"));
+}
+
 // Guards against a refused body that is read for longer than any body may be.
 TEST_F(FrontLongBody, RefusedBodyWithoutEndIsCutOff)
 {
