--- a/src/libnode/answer.c
+++ b/src/libnode/answer.c
@@ -59,7 +59,7 @@
 
 typedef void (*add_header_fn)(void *to, const char *name, const char *value);
 
-/* Headers of a problem document; the HTTP server adds length and date. */
+/* Headers of a problem document besides its length. */
 static void add_problem_headers(const struct bb_call *c,
 				const struct bb_dialect *d, add_header_fn add,
 				void *to)
@@ -354,6 +354,9 @@
 			     n < 0 ? g_strerror(errno) : "-");
 	g_string_free(text, TRUE);
 	/* For callers that read until the connection ends. */
-	shutdown(fd, SHUT_WR);
+	if (shutdown(fd, SHUT_WR))
+		bb_log_debug(BB_LOG_FRONT,
+			     "cannot close the sending direction: %s",
+			     g_strerror(errno));
 	return c->answer_queued;
 }
--- a/src/libnode/front.c
+++ b/src/libnode/front.c
@@ -23,9 +23,9 @@
  * connection can be kept.
  */
 #define ANSWER_EARLY_BYTES ((size_t)1024 * 1024)
-/* Longest time to read on after an early answer, also while the node stops: callers
- * that read the answer are gone by then. */
+/* Longest time to read on after an early answer; callers that read it leave before. */
 #define DISCARD_MAX_US (30 * BB_US_PER_S)
+/* The same while the node stops. */
 #define DISCARD_STOP_MAX_US (2 * BB_US_PER_S)
 
 /* Most connections to check in one bb_front_check_callers(). */
