Adjacent: stalled bodies are looked for only while bodies are read

The backend servers know how many they read, mostly none.

test_adjacent, test_entry, test_traffic, test_warmup and test_large_bodies.sh pass.

--- a/src/libnode/adjacent.c
+++ b/src/libnode/adjacent.c
@@ -1131,14 +1131,19 @@
 	struct bb_adjacent *a = data;
 	int64_t now_us = bb_clock_now_us();
 	GList *all = g_hash_table_get_values(a->backends);
+	unsigned int receiving = 0;
 
 	for (GList *l = all; l; l = l->next) {
-		check_stalled(l->data, now_us);
-		bb_adjacent_tick_warmup(l->data, now_us);
-		bb_adjacent_start_queued(l->data);
+		struct adjacent_backend *b = l->data;
+
+		check_stalled(b, now_us);
+		bb_adjacent_tick_warmup(b, now_us);
+		bb_adjacent_start_queued(b);
+		receiving += b->receiving;
 	}
 	g_list_free(all);
-	refuse_stalled_bodies(a, now_us);
+	if (receiving)
+		refuse_stalled_bodies(a, now_us);
 	bb_request_id_set_expire(a->seen_ids, now_us);
 	return G_SOURCE_CONTINUE;
 }
