--- a/src/test_e2e/test_large_bodies_memory.sh
+++ b/src/test_e2e/test_large_bodies_memory.sh
@@ -12,6 +12,15 @@
 one_body_mb=$((large_bytes / 1048576 + 1 + 40))
 crowd_memory_mb=160
 fleet_flags="--body-memory-mb 48 --freshness-ms 10000"
+
+expect_verdicts() { # name of the background calls without their number
+	local i
+	for ((i = 0; i < large_callers; i++)); do
+		echo "$1-$i: $(fleet_answer "$1-$i")"
+		expect "$1-$i: verdict" yes "$(fleet_check_verdict "$1-$i")"
+	done
+}
+
 fleet_start 2 2 || exit 1
 head -c "$large_bytes" /dev/zero >"$fleet_dir/large"
 head -c 1024 /dev/zero >"$fleet_dir/booking"
@@ -31,10 +40,7 @@
 expect "booking beside the crowd" "200 ran" \
 	"$(fleet_call 0 POST /orders beside --data-binary "@$fleet_dir/booking")"
 fleet_wait_calls
-for ((i = 0; i < large_callers; i++)); do
-	echo "crowd-$i: $(fleet_answer "crowd-$i")"
-	expect "crowd-$i: verdict" yes "$(fleet_check_verdict "crowd-$i")"
-done
+expect_verdicts crowd
 crowd_expect_bounds "several at once" "$crowd_memory_mb"
 for h in 0 1; do
 	expect "body after the crowd at host$h" "200 ran" \
@@ -75,10 +81,7 @@
 		-H "Expect:" --data-binary "@$fleet_dir/large"
 done
 fleet_wait_calls
-for ((i = 0; i < large_callers; i++)); do
-	echo "meet-$i: $(fleet_answer "meet-$i")"
-	expect "meet-$i: verdict" yes "$(fleet_check_verdict "meet-$i")"
-done
+expect_verdicts meet
 crowd_expect_bounds "from three nodes" "$crowd_memory_mb"
 expect "body from another node after them" "200 ran" \
 	"$(fleet_call 1 POST /orders alone --data-binary "@$fleet_dir/large")"
--- a/src/test_lib/test_entry.cc
+++ b/src/test_lib/test_entry.cc
@@ -18,6 +18,21 @@
 	return o;
 }
 
+// The adjacent side of the entry node, whose replies to other nodes are dropped.
+struct bb_adjacent *adjacent()
+{
+	struct bb_adjacent_options o = {};
+	struct bb_adjacent *a;
+	struct bb_error err;
+
+	o.incarnation = 1;
+	o.reply = [](void *, const struct bb_reply_address *,
+		     const struct bb_message *) {};
+	a = bb_adjacent_new(&o, &err);
+	EXPECT_NE(nullptr, a) << err.message;
+	return a;
+}
+
 // Time until the current step of a call ends.
 int64_t step_us(const struct bb_attempts *t)
 {
@@ -353,19 +368,14 @@
 // same process would refuse.
 TEST(Entry, OwnServerThatAsksToBeAvoidedCostsNoAttempt)
 {
-	struct bb_adjacent_options ao = {};
 	struct bb_entry_options o = options();
 	GHashTable *leaving =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	char name[] = "o0";
 	struct bb_backend_health health = {};
-	struct bb_error err;
 
-	ao.incarnation = 1;
-	ao.reply = [](void *, const struct bb_reply_address *,
-		      const struct bb_message *) {};
-	o.adjacent = bb_adjacent_new(&ao, &err);
-	ASSERT_NE(nullptr, o.adjacent) << err.message;
+	o.adjacent = adjacent();
+	ASSERT_NE(nullptr, o.adjacent);
 	{
 		ReportedEntry x(o);
 
@@ -418,18 +428,13 @@
 // row that it had before.
 TEST(Entry, RowOfTheOwnHostFollowsTheConfiguration)
 {
-	struct bb_adjacent_options ao = {};
 	struct bb_entry_options o = options();
 	GHashTable *leaving =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	struct bb_message_result r = {};
-	struct bb_error err;
 
-	ao.incarnation = 1;
-	ao.reply = [](void *, const struct bb_reply_address *,
-		      const struct bb_message *) {};
-	o.adjacent = bb_adjacent_new(&ao, &err);
-	ASSERT_NE(nullptr, o.adjacent) << err.message;
+	o.adjacent = adjacent();
+	ASSERT_NE(nullptr, o.adjacent);
 	{
 		Entry x(o);
 		struct bb_attempts *t;
